--- a/pkg/cli/daemons.go
+++ b/pkg/cli/daemons.go
@@ -53,9 +53,16 @@
 	return c
 }
 
+// daemon is a running host.
+type daemon interface {
+	Dead() <-chan struct{}
+	Stop() error
+	Shutdown(ctx context.Context) error
+}
+
 // runUntilSignal shuts the host down after the first signal and stops it at
 // once after the second.
-func runUntilSignal(ctx context.Context, host *entry.Host) error {
+func runUntilSignal(ctx context.Context, host daemon) error {
 	received := signals()
 	select {
 	case <-received:
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -44,7 +44,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(
-		entryCommand(), checkCommand(), platformCommand(), backendCommand(), lookupCommand(), callCommand(),
+		entryCommand(), steerCommand(), checkCommand(), platformCommand(), backendCommand(), lookupCommand(), callCommand(),
 		demoCommand(), measureCommand(), getCommand(), applyCommand(), diffCommand(), historyCommand(), statusCommand(), dumpCommand(),
 	)
 	return root
--- /dev/null
+++ b/pkg/cli/steer.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+	"github.com/tamarackswitch/tamarackswitch/pkg/steer"
+	"github.com/tamarackswitch/tamarackswitch/platform"
+)
+
+func steerCommand() *cobra.Command {
+	var file, env string
+	c := &cobra.Command{
+		Use:   "steer --settings FILE",
+		Short: "Run an entry host on a platform that delivers tables and servers",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if env != "" {
+				file = os.Getenv(env)
+			}
+			if file == "" {
+				return result.New(result.Usage, "--settings or --settings-env must name a settings file")
+			}
+			cfg, err := steer.LoadSettings(file)
+			if err != nil {
+				return err
+			}
+			logger := newLogger(cmd.OutOrStdout(), cfg.Log.Level)
+			host := steer.New(cfg, platform.Names(), platform.NewSource(cfg.Platform.Address, logger), logger)
+			if err := host.Start(); err != nil {
+				return err
+			}
+			return runUntilSignal(cmd.Context(), host)
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "", "settings file in TOML")
+	c.Flags().StringVar(&env, "settings-env", "", "environment variable that holds the path of the settings file")
+	return c
+}
--- /dev/null
+++ b/pkg/core/placing/placing.go
@@ -0,0 +1,451 @@
+// Package placing chooses a backend server for each request of one pool, or
+// says that the request has to wait or is rejected. It is free of I/O.
+//
+// A request costs a server less time if the server handled the same object
+// lately, so each key has an order of preference over the servers of a region
+// (rendezvous hashing), and a request leaves its first server only for one that
+// is expected to answer sooner. The expectation is the wait for a slot, from
+// the requests in progress, and the learned service time.
+package placing
+
+import (
+	"math"
+	"time"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+// Classes of sends with a service time of their own.
+const (
+	classRecent = iota // this host sent the key to the server lately
+	classFirst         // the first server of the key
+	classSecond
+	classOther
+	classes
+)
+
+// Settings of the choice.
+const (
+	// RemoteTime is the expected time that a server of another region adds,
+	// there and back (brief: 35 ms one way).
+	RemoteTime = 70 * time.Millisecond
+	// failureCost is the share of the time left that a certain failure costs.
+	failureCost = 0.7
+	// moveMargin is the share of the service time by which another server has
+	// to be better than the key's first one.
+	moveMargin = 0.15
+	// queueShare bounds the requests that wait at a server, as a share of its
+	// slots.
+	queueShare = 0.6
+	// urgentReserve is the share of a server's slots that requests of lower
+	// priority leave free for more urgent ones.
+	urgentReserve = 0.2
+)
+
+// Need is a request to place.
+type Need struct {
+	Key        string
+	Route      string
+	Idempotent bool
+	// Patient is set if the pool also serves more urgent routes.
+	Patient bool
+	Target  time.Duration
+	Left    time.Duration // until the deadline
+	Exclude []string      // servers that were tried
+	// Regions, if any, are the only ones that may run the request.
+	Regions []string
+}
+
+// Verdict says what to do with a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Send Verdict = iota
+	// Wait means that all servers are busy and a slot may come free in time.
+	Wait
+	// TooLate means that no server is expected to answer in time.
+	TooLate
+	// NoServer means that no server accepts the request.
+	NoServer
+)
+
+// Choice is the answer of Pick.
+type Choice struct {
+	Verdict Verdict
+	Server  fleet.Server
+	Remote  bool
+	// Expected is the time to the answer.
+	Expected time.Duration
+	Load     float64 // estimated requests at the server
+	class    int
+	service  time.Duration
+}
+
+// Outcome is how a sent request ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered Outcome = iota
+	// Shed means that the server refused the request without running it.
+	Shed
+	// Failed means a failed answer or a lost connection.
+	Failed
+	// Unreachable means that no connection could be opened.
+	Unreachable
+	// Misdirected means that another server has the address.
+	Misdirected
+	// Abandoned means that the caller left.
+	Abandoned
+)
+
+// Pool places the requests of one pool on one host. It is not safe for
+// concurrent use.
+type Pool struct {
+	region   string
+	servers  map[string]*server
+	order    []*server // the usable candidates, by region
+	services map[string]*[classes]estimate
+	peers    map[string]map[string]int
+	share    Share
+	coldRate float64
+	// OwnsCold tells whether this host sends to a cold server.
+	OwnsCold func(s fleet.Server) bool
+	// Evacuated tells whether a failure domain gets no requests.
+	Evacuated func(domain string) bool
+}
+
+// New returns a pool without servers for a host in region.
+func New(region string) *Pool {
+	return &Pool{
+		region: region, servers: map[string]*server{}, services: map[string]*[classes]estimate{}, peers: map[string]map[string]int{},
+		OwnsCold: func(fleet.Server) bool { return true }, Evacuated: func(string) bool { return false },
+	}
+}
+
+// estimate is a moving average of service times.
+type estimate struct {
+	mean float64 // seconds
+	n    int
+}
+
+func (e *estimate) add(d time.Duration) {
+	e.n++
+	e.mean += max(smoothing, 1/float64(e.n)) * (d.Seconds() - e.mean)
+}
+
+// Update replaces the servers of the pool. regionOf names the region of a
+// failure domain.
+func (p *Pool) Update(now time.Time, list []fleet.Server, coldRate float64, regionOf func(domain string) string) {
+	p.coldRate = coldRate
+	seen := map[string]bool{}
+	for _, f := range list {
+		seen[f.ID] = true
+		s := p.servers[f.ID]
+		if s == nil || s.Born != f.Born || s.Address != f.Address {
+			running := 0
+			if s != nil {
+				running = s.running
+			}
+			s = &server{running: running, slow: 1}
+			p.servers[f.ID] = s
+		}
+		if s.ColdUntil.After(f.ColdUntil) {
+			f.ColdUntil = s.ColdUntil // a probe told it
+		}
+		s.Server, s.region, s.gone = f, regionOf(f.Domain), false
+	}
+	p.order = p.order[:0]
+	for id, s := range p.servers {
+		if !seen[id] {
+			s.gone = true
+			if s.running <= 0 {
+				delete(p.servers, id)
+			}
+			continue
+		}
+		p.order = append(p.order, s)
+	}
+	p.sumPeers()
+}
+
+// PeerLoad records the requests in progress of another host, by server.
+func (p *Pool) PeerLoad(host string, loads map[string]int) {
+	if len(loads) == 0 {
+		delete(p.peers, host)
+	} else {
+		p.peers[host] = loads
+	}
+	p.sumPeers()
+}
+
+func (p *Pool) sumPeers() {
+	for _, s := range p.order {
+		s.peers = 0
+	}
+	for _, loads := range p.peers {
+		for id, n := range loads {
+			if s := p.servers[id]; s != nil {
+				s.peers += n
+			}
+		}
+	}
+}
+
+// Loads returns the requests in progress of this host, by server.
+func (p *Pool) Loads() map[string]int {
+	out := map[string]int{}
+	for id, s := range p.servers {
+		if s.running > 0 {
+			out[id] = s.running
+		}
+	}
+	return out
+}
+
+// candidate is a server under consideration.
+type candidate struct {
+	*server
+	load, cost float64
+	wait       float64
+	class      int
+	service    float64
+}
+
+// Pick chooses a server. The caller must report Started after a Send.
+func (p *Pool) Pick(now time.Time, n Need) Choice {
+	local, remote := p.best(now, n, true), p.best(now, n, false)
+	pressure, known := p.pressure(now)
+	p.share.Update(now, pressure, known)
+	switch {
+	case local == nil && remote == nil:
+		return Choice{Verdict: NoServer}
+	case local == nil:
+		return p.decide(n, remote, true)
+	case remote == nil:
+		return p.decide(n, local, false)
+	}
+	if p.share.Take() && remote.cost < local.cost+n.Target.Seconds()/2 {
+		return p.decide(n, remote, true)
+	}
+	return p.decide(n, local, false)
+}
+
+func (p *Pool) decide(n Need, c *candidate, remote bool) Choice {
+	choice := Choice{
+		Server: c.Server, Remote: remote, Expected: seconds(c.wait + c.service), Load: c.load,
+		class: c.class, service: seconds(c.service),
+	}
+	limit := float64(c.Slots) * (1 + queueShare)
+	if n.Patient {
+		limit = max(math.Floor(float64(c.Slots)*(1-urgentReserve)), 1)
+	}
+	switch {
+	case choice.Expected > n.Left:
+		choice.Verdict = TooLate
+	case c.load >= limit:
+		choice.Verdict = Wait
+	}
+	return choice
+}
+
+// best returns the cheapest usable server inside or outside the own region.
+func (p *Pool) best(now time.Time, n Need, local bool) *candidate {
+	service := p.estimates(n)
+	first, second := p.preferred(n, local)
+	var best *candidate
+	for _, s := range p.order {
+		if (s.region == p.region) != local || !p.usable(now, s, n) {
+			continue
+		}
+		c := candidate{server: s, load: s.load(now), class: classOther}
+		switch {
+		case s.keys.has(n.Route + "\x00" + n.Key):
+			c.class = classRecent
+		case s == first:
+			c.class = classFirst
+		case s == second:
+			c.class = classSecond
+		}
+		c.service = service[c.class] * s.slow
+		if over := c.load - float64(s.Slots) + 1; over > 0 {
+			c.wait = over / float64(s.Slots) * service[classFirst] * s.slow
+		}
+		c.cost = c.wait + c.service + s.failureRatio(now)*failureCost*n.Left.Seconds()
+		if s != first {
+			c.cost += moveMargin * service[classFirst]
+		}
+		// Between equal servers the one with fewer requests is better.
+		c.cost += 0.1 * service[classFirst] * c.load / float64(s.Slots)
+		if !local {
+			c.service += RemoteTime.Seconds()
+			c.cost += RemoteTime.Seconds()
+		}
+		if best == nil || c.cost < best.cost {
+			best = &c
+		}
+	}
+	return best
+}
+
+// preferred returns the first two servers of the key, whether usable or not at
+// this moment, so that a short failure does not move other keys.
+func (p *Pool) preferred(n Need, local bool) (first, second *server) {
+	var w1, w2 uint64
+	for _, s := range p.order {
+		if (s.region == p.region) != local || s.Draining {
+			continue
+		}
+		w := s.weight(n.Key)
+		switch {
+		case first == nil || w > w1:
+			second, w2 = first, w1
+			first, w1 = s, w
+		case second == nil || w > w2:
+			second, w2 = s, w
+		}
+	}
+	return first, second
+}
+
+func (p *Pool) usable(now time.Time, s *server, n Need) bool {
+	switch {
+	case s.Draining || p.Evacuated(s.Domain) || now.Before(s.restUntil) || s.trial && s.running > 0:
+		return false
+	case s.isCold(now) && (!p.OwnsCold(s.Server) || !s.cold.ready(now, p.coldRate)):
+		return false
+	}
+	for _, id := range n.Exclude {
+		if id == s.ID {
+			return false
+		}
+	}
+	if len(n.Regions) == 0 {
+		return true
+	}
+	for _, r := range n.Regions {
+		if r == s.region {
+			return true
+		}
+	}
+	return false
+}
+
+// estimates returns the expected service times of the classes in seconds.
+func (p *Pool) estimates(n Need) [classes]float64 {
+	var out [classes]float64
+	// Until answers tell more, a known object is expected to meet the target.
+	guess := n.Target.Seconds()
+	prior := [classes]float64{0.5 * guess, 0.6 * guess, 0.8 * guess, 1.2 * guess}
+	known := p.services[n.Route]
+	for i := range out {
+		out[i] = prior[i]
+		if known != nil && known[i].n > 0 {
+			w := min(float64(known[i].n)/8, 1)
+			out[i] = w*known[i].mean + (1-w)*prior[i]
+		}
+	}
+	return out
+}
+
+// pressure is the share of the usable slots of the own region that are taken.
+func (p *Pool) pressure(now time.Time) (float64, bool) {
+	load, slots := 0.0, 0
+	for _, s := range p.order {
+		if s.region == p.region && p.usable(now, s, Need{}) && !s.isCold(now) {
+			load += min(s.load(now), float64(2*s.Slots))
+			slots += s.Slots
+		}
+	}
+	if slots == 0 {
+		return 0, false
+	}
+	return load / float64(slots), true
+}
+
+// Started records that a request is sent to the server of c.
+func (p *Pool) Started(now time.Time, c Choice, n Need) {
+	if s := p.servers[c.Server.ID]; s != nil {
+		s.running++
+		if s.isCold(now) {
+			s.cold.take()
+		}
+		s.keys.add(now, n.Route+"\x00"+n.Key)
+	}
+}
+
+// Finished records the end of a request after it was Started. took is the time
+// from the send to the answer.
+func (p *Pool) Finished(now time.Time, c Choice, n Need, o Outcome, took time.Duration) {
+	s := p.servers[c.Server.ID]
+	if s == nil {
+		return
+	}
+	s.running = max(s.running-1, 0)
+	if s.gone && s.running == 0 {
+		delete(p.servers, s.ID)
+		return
+	}
+	switch o {
+	case Answered:
+		p.answered(now, s, c, n, took)
+	case Failed:
+		s.observe(now, true)
+	case Shed:
+		s.reported, s.reportedAt = max(s.Slots*2, s.reported), now
+		s.observe(now, s.running+s.peers < s.Slots)
+	case Unreachable, Misdirected:
+		s.rested(now)
+	case Abandoned:
+	}
+}
+
+// answered learns from a good answer.
+func (p *Pool) answered(now time.Time, s *server, c Choice, n Need, took time.Duration) {
+	s.observe(now, false)
+	s.rest, s.trial = 0, false
+	if c.Remote {
+		took = max(took-RemoteTime, time.Millisecond)
+	}
+	// Requests that found a free slot show the service time.
+	if c.Load < float64(s.Slots) && !s.isCold(now) {
+		known := p.services[n.Route]
+		if known == nil {
+			known = new([classes]estimate)
+			p.services[n.Route] = known
+		}
+		known[c.class].add(took)
+	}
+	if c.Expected > 0 {
+		ratio := s.slow * float64(took) / float64(c.Expected)
+		s.slow += smoothing * (ratio - s.slow)
+		s.slow = min(max(s.slow, slowMin), slowMost)
+	}
+}
+
+// rested keeps requests away from a server that could not be reached, for
+// longer after each attempt.
+func (s *server) rested(now time.Time) {
+	if now.Before(s.restUntil) {
+		return
+	}
+	s.rest = min(max(2*s.rest, restFirst), restMost)
+	s.restUntil, s.trial = now.Add(s.rest), true
+}
+
+// Reported records the load that a server told: running and waiting requests.
+func (p *Pool) Reported(now time.Time, id string, load int) {
+	if s := p.servers[id]; s != nil {
+		s.reported, s.reportedAt = load, now
+	}
+}
+
+// Cold records that a server said it stays cold for d.
+func (p *Pool) Cold(now time.Time, id string, d time.Duration) {
+	if s := p.servers[id]; s != nil {
+		s.ColdUntil = now.Add(d)
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/pkg/core/registry/registry.go
@@ -0,0 +1,122 @@
+// Package registry decides which backend servers exist, from the lists of a
+// store that may have been away. It is free of I/O.
+package registry
+
+import (
+	"time"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+// Times after an outage of the store.
+const (
+	// returnTime is how long servers have after the store's return to announce
+	// themselves again (platform: about 2 s).
+	returnTime = 2 * time.Second
+	// massTime is how long servers that vanish together still count. It is below
+	// the platform's drain bound of 2.5 s.
+	massTime = 1500 * time.Millisecond
+	// massShare is the share of a pool's servers that have to vanish at once to
+	// be taken for entries that lapsed instead of servers that left.
+	massShare = 0.4
+	massLeast = 3
+)
+
+// Registry holds the backend servers. It is not safe for concurrent use.
+type Registry struct {
+	servers map[string]fleet.Server
+	// lapsed are servers whose entry vanished and that still count until the
+	// given time.
+	lapsed map[string]time.Time
+	// down is set while the store does not answer; returned is when it last
+	// answered again.
+	down     bool
+	returned time.Time
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{servers: map[string]fleet.Server{}, lapsed: map[string]time.Time{}}
+}
+
+// StoreFailed records that the store did not answer.
+func (r *Registry) StoreFailed() { r.down = true }
+
+// StoreAnswered records that the store answered.
+func (r *Registry) StoreAnswered(now time.Time) {
+	if r.down {
+		r.down, r.returned = false, now
+	}
+}
+
+// Set takes the servers that the store lists now. Servers that are missing
+// leave at once, unless the store was away: then they stay until they had the
+// time to announce themselves again.
+func (r *Registry) Set(now time.Time, list []fleet.Server) {
+	listed := make(map[string]bool, len(list))
+	addresses := make(map[string]bool, len(list))
+	for _, s := range list {
+		listed[s.ID] = true
+		addresses[s.Address] = true
+		r.servers[s.ID] = s
+		delete(r.lapsed, s.ID)
+	}
+	missing, pools := map[string]int{}, map[string]int{}
+	for id, s := range r.servers {
+		pools[s.Pool]++
+		if _, lapsed := r.lapsed[id]; !listed[id] && !lapsed {
+			missing[s.Pool]++
+		}
+	}
+	for id, s := range r.servers {
+		if listed[id] {
+			continue
+		}
+		if _, ok := r.lapsed[id]; ok {
+			continue
+		}
+		mass := missing[s.Pool] >= massLeast && float64(missing[s.Pool]) >= massShare*float64(pools[s.Pool])
+		switch {
+		case s.Draining || addresses[s.Address]:
+			delete(r.servers, id)
+		case r.down || now.Sub(r.returned) < returnTime:
+			r.lapsed[id] = now.Add(returnTime)
+			if !r.down {
+				r.lapsed[id] = r.returned.Add(returnTime)
+			}
+		case mass:
+			r.lapsed[id] = now.Add(massTime)
+		default:
+			delete(r.servers, id)
+		}
+	}
+}
+
+// Expire removes servers that did not come back in time and reports whether
+// there were any.
+func (r *Registry) Expire(now time.Time) bool {
+	changed := false
+	for id, until := range r.lapsed {
+		if r.down {
+			continue
+		}
+		if !now.Before(until) {
+			delete(r.lapsed, id)
+			delete(r.servers, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Servers returns the servers by pool.
+func (r *Registry) Servers() map[string][]fleet.Server {
+	out := map[string][]fleet.Server{}
+	for _, s := range r.servers {
+		out[s.Pool] = append(out[s.Pool], s)
+	}
+	return out
+}
+
+// Counts returns the number of servers and of those whose entry lapsed.
+func (r *Registry) Counts() (servers, lapsed int) { return len(r.servers), len(r.lapsed) }
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,139 @@
+// Package fleet holds the dynamic tables of a deployment: the routes and pools
+// that operators edit, and the backend servers that announce themselves. The
+// types are free of any wire format; an adapter fills them.
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Target is a pool that serves a fraction of a route's requests.
+type Target struct {
+	Pool string `cbor:"1,keyasint"`
+	// Weight is relative to the sum of the weights of the route's targets.
+	Weight int `cbor:"2,keyasint"`
+}
+
+// Route is one row of the routes table.
+type Route struct {
+	Name string `cbor:"1,keyasint"`
+	// Host and Prefix select the requests: exact host, longest prefix.
+	Host    string   `cbor:"2,keyasint"`
+	Prefix  string   `cbor:"3,keyasint"`
+	Targets []Target `cbor:"4,keyasint"`
+	// Idempotent requests may run more than once.
+	Idempotent bool `cbor:"5,keyasint"`
+	// Timeout bounds how long a request is kept without an answer.
+	Timeout time.Duration `cbor:"6,keyasint"`
+	// TargetLatency is the time within which an answer is worth the most.
+	TargetLatency time.Duration `cbor:"7,keyasint"`
+	// Priority orders routes by urgency; 0 is the most urgent.
+	Priority int `cbor:"8,keyasint"`
+	// MaxAttempts bounds the servers that one request is sent to.
+	MaxAttempts int `cbor:"9,keyasint"`
+	// Sticky routes run faster at a server that handled the same key lately.
+	Sticky bool `cbor:"10,keyasint"`
+	// Homes, if any, are the only regions whose servers may run the request.
+	Homes []string `cbor:"11,keyasint,omitempty"`
+}
+
+// Pool is one row of the pools table.
+type Pool struct {
+	Name      string `cbor:"1,keyasint"`
+	ProbePath string `cbor:"2,keyasint"`
+	// MaxConns bounds the connections that one server accepts from all hosts.
+	MaxConns int `cbor:"3,keyasint"`
+	// ColdRate is the number of requests per second that a cold server bears.
+	ColdRate float64 `cbor:"4,keyasint"`
+	// ColdTime is how long a server stays cold after its start.
+	ColdTime time.Duration `cbor:"5,keyasint"`
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeadBytes   int           `cbor:"1,keyasint"`
+	BodyBytes   int64         `cbor:"2,keyasint"`
+	HeadTimeout time.Duration `cbor:"3,keyasint"`
+	IdleTimeout time.Duration `cbor:"4,keyasint"`
+}
+
+// Table is one version of the routes and pools in force, immutable.
+type Table struct {
+	Version int64   `cbor:"1,keyasint"`
+	Routes  []Route `cbor:"2,keyasint"`
+	Pools   []Pool  `cbor:"3,keyasint"`
+	Limits  Limits  `cbor:"4,keyasint"`
+
+	byHost map[string][]*Route
+	pools  map[string]*Pool
+	urgent map[string]int // smallest priority by pool
+}
+
+// Index prepares the table for look-ups. Call it once before the table is
+// shared.
+func (t *Table) Index() {
+	t.byHost, t.pools, t.urgent = map[string][]*Route{}, map[string]*Pool{}, map[string]int{}
+	for i := range t.Pools {
+		t.pools[t.Pools[i].Name] = &t.Pools[i]
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		for _, target := range r.Targets {
+			if p, ok := t.urgent[target.Pool]; !ok || r.Priority < p {
+				t.urgent[target.Pool] = r.Priority
+			}
+		}
+	}
+	for _, routes := range t.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+// Match returns the route of host with the longest prefix of path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pool returns the pool of that name, or nil.
+func (t *Table) Pool(name string) *Pool { return t.pools[name] }
+
+// MostUrgent returns the smallest priority among the routes of a pool.
+func (t *Table) MostUrgent(pool string) int { return t.urgent[pool] }
+
+// Server is one backend server as it announced itself.
+type Server struct {
+	ID      string `cbor:"1,keyasint"`
+	Pool    string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+	Domain  string `cbor:"4,keyasint"`
+	Slots   int    `cbor:"5,keyasint"`
+	// Draining servers take no new requests.
+	Draining bool `cbor:"6,keyasint"`
+	// ColdFor is how long the server stays cold, from when it said so.
+	ColdFor time.Duration `cbor:"7,keyasint"`
+	// ColdUntil is the end of ColdFor by the clock of this process.
+	ColdUntil time.Time `cbor:"-"`
+	// Born is the start of the server in milliseconds since 1970; a restarted
+	// server may keep its ID.
+	Born int64 `cbor:"8,keyasint"`
+}
+
+// EntryHost is one host of the system as it announced itself.
+type EntryHost struct {
+	Name   string `cbor:"1,keyasint" json:"name"`
+	Domain string `cbor:"2,keyasint" json:"domain"`
+	Region string `cbor:"3,keyasint" json:"region"`
+	// Caller and Peer are the addresses for callers and for other hosts.
+	Caller string `cbor:"4,keyasint" json:"caller"`
+	Peer   string `cbor:"5,keyasint" json:"peer"`
+	// Started is the start of the process in milliseconds since 1970.
+	Started int64 `cbor:"6,keyasint" json:"started"`
+}
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -43,8 +43,12 @@
 		a.abandon()
 		return nil, err
 	}
-	if !x.relay && resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderRun) == string(result.NotRun) {
-		err := result.New(result.ServerShed, "%s refused the request", x.req.Server).WithRetryAfter(retryAfter(resp.Header))
+	if !x.relay && x.f.cfg.Headers.shed(resp) {
+		code := result.ServerShed
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			code = result.WrongServer
+		}
+		err := result.New(code, "%s refused the request with status %d", x.req.Server, resp.StatusCode).WithRetryAfter(retryAfter(resp.Header))
 		a.finishShort()
 		a.Close()
 		return nil, err
@@ -68,7 +72,7 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return result.New(result.BadAnswer, "%s switched protocols", x.req.Server).WithRun(result.Unknown)
 	}
-	for _, id := range resp.Header[HeaderRequestID] {
+	for _, id := range resp.Header[x.f.cfg.Headers.RequestID] {
 		if id != x.req.RequestID {
 			return result.New(result.BadAnswer, "%s answered request %.64q instead of %q", x.req.Server, id, x.req.RequestID).
 				WithRun(result.Unknown)
@@ -216,7 +220,7 @@
 	rc := http.NewResponseController(w)
 	if !a.x.req.DeadlineAt.IsZero() {
 		// A caller that does not read must not hold a slot past the deadline.
-		_ = rc.SetWriteDeadline(a.x.req.DeadlineAt)
+		_ = rc.SetWriteDeadline(a.x.req.DeadlineAt.Add(a.x.req.AnswerSlack))
 		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	}
 	for {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -50,6 +50,8 @@
 	ConnectTimeout time.Duration
 	// AnswerHead bounds the head of an answer in bytes.
 	AnswerHead int64
+	// Headers names the headers of the exchange; default OwnHeaders.
+	Headers Headers
 	// Now is the clock; default time.Now.
 	Now func() time.Time
 	// Dial opens connections; default a net.Dialer with keep-alive probes and
@@ -85,6 +87,9 @@
 	if cfg.AnswerHead <= 0 {
 		cfg.AnswerHead = DefaultAnswerHead
 	}
+	if cfg.Headers.RequestID == "" {
+		cfg.Headers = OwnHeaders
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -117,8 +122,14 @@
 	// repeats only requests of which no byte was written.
 	Idempotent bool
 	RequestID  string
+	// ExpectServer is the id of the server that may run the request, if the
+	// exchange has a header for it.
+	ExpectServer string
 	// DeadlineAt is passed on to the server; zero means none.
 	DeadlineAt time.Time
+	// AnswerSlack is how long after DeadlineAt the server's own answer to the
+	// expired deadline is awaited.
+	AnswerSlack time.Duration
 	// BodyLimit bounds the body in bytes; zero means none.
 	BodyLimit int64
 	// Body, if set, is the opened body of In, so that several attempts can
@@ -194,7 +205,7 @@
 	if x.req.DeadlineAt.IsZero() {
 		x.ctx, x.cancel = context.WithCancel(ctx)
 	} else {
-		x.ctx, x.cancel = context.WithDeadline(ctx, x.req.DeadlineAt)
+		x.ctx, x.cancel = context.WithDeadline(ctx, x.req.DeadlineAt.Add(x.req.AnswerSlack))
 	}
 	if in := x.req.In.Context(); in != ctx {
 		cancel := x.cancel
@@ -270,7 +281,7 @@
 			RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery,
 		},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: outHeader(x.req, x.f.now()),
+		Header: outHeader(x.req, x.f.cfg.Headers, x.f.now()),
 		Host:   in.Host,
 	}
 	if x.relay {
--- a/pkg/forward/header.go
+++ b/pkg/forward/header.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
 // Names of the headers of the system.
@@ -18,6 +20,40 @@
 	HeaderRelay     = "Tamarackswitch-Relay"
 )
 
+// Headers names the headers by which callers, entry hosts and backend servers
+// exchange a request's id, deadline and run state.
+type Headers struct {
+	RequestID string
+	// Deadline holds the time left in milliseconds.
+	Deadline string
+	// NotRun marks an answer of a server that did not run the request.
+	NotRun string
+	// NotRunValue is the value of NotRun; any if it is empty.
+	NotRunValue string
+	// ExpectServer, if set, names the server that may run the request; another
+	// one answers 421.
+	ExpectServer string
+	// Forwarded adds the caller's address to X-Forwarded-For and Forwarded.
+	Forwarded bool
+}
+
+// OwnHeaders are the headers of the system's own caller interface.
+var OwnHeaders = Headers{
+	RequestID: HeaderRequestID, Deadline: HeaderDeadline, NotRun: HeaderRun, NotRunValue: string(result.NotRun), Forwarded: true,
+}
+
+// shed reports whether an answer says that the request was not run.
+func (n Headers) shed(resp *http.Response) bool {
+	if n.ExpectServer != "" && resp.StatusCode == http.StatusMisdirectedRequest {
+		return true
+	}
+	value := resp.Header.Get(n.NotRun)
+	if n.NotRunValue != "" {
+		return resp.StatusCode == http.StatusServiceUnavailable && value == n.NotRunValue
+	}
+	return value != "" && resp.StatusCode >= http.StatusBadRequest
+}
+
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
@@ -39,7 +75,7 @@
 }
 
 // outHeader returns the header of the forwarded request.
-func outHeader(req *Request, now time.Time) http.Header {
+func outHeader(req *Request, names Headers, now time.Time) http.Header {
 	in := req.In
 	h := make(http.Header, len(in.Header)+5)
 	for k, v := range in.Header {
@@ -55,12 +91,20 @@
 		// An empty value keeps net/http from sending its own.
 		h["User-Agent"] = []string{""}
 	}
-	addForwarded(h, in)
-	h[HeaderRequestID] = []string{req.RequestID}
-	delete(h, HeaderDeadline)
+	if names.Forwarded {
+		addForwarded(h, in)
+	}
+	h[names.RequestID] = []string{req.RequestID}
+	delete(h, names.Deadline)
 	if !req.DeadlineAt.IsZero() {
 		ms := max(req.DeadlineAt.Sub(now).Milliseconds(), 1)
-		h[HeaderDeadline] = []string{strconv.FormatInt(ms, 10)}
+		h[names.Deadline] = []string{strconv.FormatInt(ms, 10)}
+	}
+	if names.ExpectServer != "" {
+		delete(h, names.ExpectServer)
+		if req.ExpectServer != "" {
+			h[names.ExpectServer] = []string{req.ExpectServer}
+		}
 	}
 	return h
 }
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -51,6 +51,7 @@
 	CallerGone      Code = 3006
 	BadAnswer       Code = 3007
 	RelayFailed     Code = 3008
+	WrongServer     Code = 3009
 )
 
 // Codes for idempotency keys.
@@ -152,6 +153,7 @@
 	{CallerGone, "caller-gone", 499, exitBackend, "The caller went away before the answer; work was cancelled."},
 	{BadAnswer, "bad-answer", http.StatusBadGateway, exitBackend, "The answer is malformed or belongs to another request."},
 	{RelayFailed, "relay-failed", http.StatusBadGateway, exitBackend, "The connection to another entry host failed after the request was sent."},
+	{WrongServer, "wrong-server", http.StatusServiceUnavailable, exitBackend, "Another backend server has the address and did not run the request."},
 
 	{KeyInProgress, "key-in-progress", http.StatusConflict, exitKey, "A request with this key is running."},
 	{KeyAlreadyRun, "key-already-run", http.StatusConflict, exitKey, "A request with this key ran; its answer is no longer stored."},
--- /dev/null
+++ b/pkg/steer/control.go
@@ -0,0 +1,56 @@
+package steer
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+// controlHandler serves other entry hosts.
+func (h *Host) controlHandler() http.Handler { return bunrouter.New() }
+
+// metricsHandler serves metrics and the state dump.
+func (h *Host) metricsHandler() http.Handler {
+	r := bunrouter.New()
+	r.Compat().GET("/metrics", promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}).ServeHTTP)
+	r.Compat().GET("/dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(h.Dump()) // an error means that the reader left
+	})
+	return r
+}
+
+// Dump is the state of a host.
+type Dump struct {
+	Host         fleet.EntryHost   `json:"host"`
+	TableVersion int64             `json:"table_version"`
+	Leaving      bool              `json:"leaving"`
+	Held         int64             `json:"held"`
+	Peers        []fleet.EntryHost `json:"peers"`
+	Servers      map[string]int    `json:"servers"`
+	Loads        map[string]int    `json:"loads"`
+	Evacuated    map[string]bool   `json:"evacuated"`
+}
+
+// Dump returns the state.
+func (h *Host) Dump() Dump {
+	d := Dump{
+		Host: h.self, Leaving: h.leaving.Load(), Held: h.held.Load(), Peers: h.peers.live(time.Now()),
+		Servers: map[string]int{}, Loads: map[string]int{}, Evacuated: *h.evacuated.Load(),
+	}
+	if t := h.table.Load(); t != nil {
+		d.TableVersion = t.Version
+	}
+	h.eachPool(func(p *pool) { p.loads(d.Loads) })
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
+	for pool, list := range h.registry.Servers() {
+		d.Servers[pool] = len(list)
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/steer/host.go
@@ -0,0 +1,219 @@
+// Package steer is the entry host for deployments whose tables and backend
+// servers are delivered by a Source. It answers look-ups, forwards requests
+// and tells the other entry hosts what it has in progress. Decisions are in
+// pkg/core.
+package steer
+
+import (
+	"context"
+	stderrors "errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/registry"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+)
+
+// Limits of connections to backend servers.
+const (
+	// connectTimeout bounds the opening of a connection. A region is 70 ms
+	// away; a lost opening packet is repeated after 1 s.
+	connectTimeout = 400 * time.Millisecond
+	// serverIdle is how long an idle connection to a server is kept. Servers
+	// close theirs after about 10 s.
+	serverIdle = 6 * time.Second
+)
+
+// memoryTarget makes the garbage collector work harder before the heap grows
+// beyond it; the peak memory of each process is priced.
+const memoryTarget = 32 << 20
+
+// Host is one entry host. Create it with New, run it with Start and end it
+// with Shutdown or Stop.
+type Host struct {
+	cfg    *Settings
+	names  Names
+	source Source
+	log    *eventLog
+	self   fleet.EntryHost
+	region string
+
+	tomb    tomb.Tomb
+	servers []*http.Server
+
+	table     atomic.Pointer[fleet.Table]
+	tableAt   atomic.Int64 // when the table was applied, ms since 1970
+	tableMu   sync.Mutex
+	evacuated atomic.Pointer[map[string]bool]
+
+	registryMu sync.Mutex
+	registry   *registry.Registry
+
+	poolsMu sync.RWMutex
+	pools   map[string]*pool
+
+	splits  splits
+	peers   *peers
+	forward *forward.Forwarder
+	metrics *metrics
+
+	leaving atomic.Bool
+	// held counts the requests that were read and not answered.
+	held atomic.Int64
+}
+
+// New returns a host that is not running yet.
+func New(cfg *Settings, names Names, source Source, logger *log.Logger) *Host {
+	h := &Host{
+		cfg: cfg, names: names, source: source, log: newEventLog(logger, cfg.Log.Rate), region: cfg.Region(),
+		self: fleet.EntryHost{
+			Name: cfg.Name, Domain: cfg.Domain, Region: cfg.Region(), Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer,
+			Started: time.Now().UnixMilli(),
+		},
+		registry: registry.New(), pools: map[string]*pool{},
+		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}),
+	}
+	h.peers = newPeers(h.self)
+	h.evacuated.Store(&map[string]bool{})
+	h.metrics = newMetrics(h)
+	return h
+}
+
+// Start opens the listeners and begins to serve. The error is a *result.Error
+// with code ListenFailed.
+func (h *Host) Start() error {
+	debug.SetMemoryLimit(memoryTarget)
+	for _, l := range []struct {
+		field, address string
+		handler        http.Handler
+	}{
+		{"listen.caller", h.cfg.Listen.Caller, http.HandlerFunc(h.serveRequest)},
+		{"listen.ready", h.cfg.Listen.Ready, h.readyHandler()},
+		{"listen.lookup", h.cfg.Listen.Lookup, h.lookupHandler()},
+		{"listen.control", h.cfg.Listen.Control, h.controlHandler()},
+		{"listen.metrics", h.cfg.Listen.Metrics, h.metricsHandler()},
+	} {
+		if err := h.serve(l.field, l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	conn, err := net.ListenPacket("udp4", h.cfg.Listen.Peer)
+	if err != nil {
+		return result.Wrap(err, result.ListenFailed, "listen.peer")
+	}
+	h.startPeers(conn)
+	h.tomb.Go(func() error {
+		err := h.source.Run(h.tomb.Context(context.Background()), h)
+		if h.tomb.Alive() {
+			return err
+		}
+		return nil
+	})
+	h.every(registryTick, h.expireServers)
+	h.log.start(h)
+	return nil
+}
+
+func (h *Host) serve(field, address string, handler http.Handler) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return result.Wrap(err, result.ListenFailed, "%s", field)
+	}
+	srv := forward.NewServer(handler, forward.Limits{HeadBytes: maxHead, HeadTimeout: headTimeout, KeepAlive: callerIdle})
+	h.servers = append(h.servers, srv)
+	h.tomb.Go(func() error {
+		if err := srv.Serve(l); !stderrors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// every runs fn at an interval until the host stops.
+func (h *Host) every(interval time.Duration, fn func(now time.Time)) {
+	h.tomb.Go(func() error {
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			select {
+			case <-h.tomb.Dying():
+				return nil
+			case <-t.C:
+				fn(time.Now())
+			}
+		}
+	})
+}
+
+// Dead is closed when the host has stopped, also by a fault.
+func (h *Host) Dead() <-chan struct{} { return h.tomb.Dead() }
+
+// Stop ends the host at once and cuts what it holds.
+func (h *Host) Stop() error {
+	h.tomb.Kill(nil)
+	for _, s := range h.servers {
+		_ = s.Close() // the listeners and connections end either way
+	}
+	err := h.tomb.Wait()
+	h.forward.Close()
+	h.log.stop(h)
+	return err
+}
+
+// Times of a graceful shutdown.
+const (
+	// withdrawTime is how long a leaving host goes on taking requests: callers
+	// keep a look-up answer for up to lookupLife, some of them longer.
+	withdrawTime = 3 * time.Second
+	// exitMargin is left of the grace for the exit.
+	exitMargin   = 300 * time.Millisecond
+	shutdownTick = 20 * time.Millisecond
+)
+
+// Shutdown withdraws the host from look-ups, answers what it holds and stops.
+func (h *Host) Shutdown(ctx context.Context) error {
+	began := time.Now()
+	h.leaving.Store(true)
+	h.log.leaving(h)
+	grace := h.cfg.Bounds.Grace.Std() - exitMargin
+	for time.Since(began) < grace {
+		if time.Since(began) > withdrawTime && h.held.Load() == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return h.Stop()
+		case <-h.tomb.Dying():
+			return h.Stop()
+		case <-time.After(shutdownTick):
+		}
+	}
+	return h.Stop()
+}
+
+// readyHandler answers the platform's readiness checks.
+func (h *Host) readyHandler() http.Handler {
+	r := bunrouter.New()
+	r.Compat().GET(h.names.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !h.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return r
+}
+
+// ready reports whether this host takes callers.
+func (h *Host) ready() bool { return h.table.Load() != nil && !h.leaving.Load() }
--- /dev/null
+++ b/pkg/steer/logs.go
@@ -0,0 +1,119 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+)
+
+// eventLog writes one line per decision. Lines about requests are bounded in
+// rate; the next line after a gap says how many were dropped.
+type eventLog struct {
+	*log.Logger
+	limit   *rate.Limiter
+	dropped prometheus.Counter
+	store   storeState
+}
+
+func newEventLog(l *log.Logger, perSecond int) *eventLog {
+	return &eventLog{Logger: l, limit: rate.NewLimiter(rate.Limit(perSecond), perSecond)}
+}
+
+// allow reports whether a line about a request may be written.
+func (l *eventLog) allow() bool {
+	if l.limit.Allow() {
+		return true
+	}
+	l.dropped.Inc()
+	return false
+}
+
+func (l *eventLog) start(h *Host) {
+	l.Info().Str("host", h.self.Name).Str("domain", h.self.Domain).Str("region", h.region).Int64("started", h.self.Started).
+		Str("caller", h.cfg.Listen.Caller).Msg("entry host started")
+}
+
+func (l *eventLog) stop(h *Host) {
+	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Msg("entry host stopped")
+}
+
+func (l *eventLog) leaving(h *Host) {
+	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Msg("entry host is leaving")
+}
+
+func (l *eventLog) warn(err error, msg string) {
+	if l.allow() {
+		l.Warn().Err(err).Msg(msg)
+	}
+}
+
+func (l *eventLog) peerLost(name string) { l.Warn().Str("peer", name).Msg("peer is silent") }
+
+func (l *eventLog) tableApplied(old, t *fleet.Table) {
+	e := l.Info().Int64("version", t.Version).Int("routes", len(t.Routes)).Int("pools", len(t.Pools))
+	if old != nil {
+		e = e.Int64("before", old.Version)
+	}
+	e.Msg("tables in force")
+}
+
+func (l *eventLog) serversListed(listed, known, lapsed int) {
+	l.Info().Int("listed", listed).Int("known", known).Int("lapsed", lapsed).Msg("backend servers changed")
+}
+
+func (l *eventLog) serversExpired() { l.Info().Msg("lapsed backend servers removed") }
+
+func (l *eventLog) evacuated(domains []string) {
+	l.Info().Strs("domains", domains).Msg("evacuated failure domains changed")
+}
+
+// request writes the outcome of a request with what decided it.
+func (l *eventLog) request(x *exchange, status int, err *result.Error) {
+	if !l.allow() {
+		return
+	}
+	e := l.Info()
+	if err != nil && err.Run != result.NotRun {
+		e = l.Warn()
+	}
+	e = e.Str("id", x.id).Int("status", status).Int64("ms", time.Since(x.started).Milliseconds())
+	if x.table != nil {
+		e = e.Int64("version", x.table.Version)
+	}
+	if x.route != nil {
+		e = e.Str("route", x.route.Name).Str("key", x.need.Key).Int64("wait_ms", x.waited.Milliseconds()).Int("attempts", x.attempts)
+	}
+	if x.pool != nil {
+		e = e.Str("pool", x.pool.name)
+	}
+	if x.attempts > 0 {
+		e = placed(e, x.choice)
+	}
+	if err != nil {
+		e = e.Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error())
+		if err.RetryAfter > 0 {
+			e = e.Int64("retry_after_ms", err.RetryAfter.Milliseconds())
+		}
+	}
+	e.Msg("request")
+}
+
+// attempt writes the failure of one send.
+func (l *eventLog) attempt(x *exchange, took time.Duration, err *result.Error) {
+	if !l.allow() {
+		return
+	}
+	e := l.Info().Str("id", x.id).Int("attempt", x.attempts).Int64("took_ms", took.Milliseconds())
+	placed(e, x.choice).Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error()).Msg("send failed")
+}
+
+func placed(e *log.Entry, c placing.Choice) *log.Entry {
+	return e.Str("server", c.Server.ID).Str("address", c.Server.Address).Str("domain", c.Server.Domain).Bool("remote", c.Remote).
+		Int64("expected_ms", c.Expected.Milliseconds()).Float64("load", c.Load).Int("slots", c.Server.Slots)
+}
--- /dev/null
+++ b/pkg/steer/metrics.go
@@ -0,0 +1,75 @@
+package steer
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+)
+
+// metrics are the counters and histograms of one host; docs/metrics.md lists
+// them.
+type metrics struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	latency    *prometheus.HistogramVec
+	waits      *prometheus.HistogramVec
+	sends      *prometheus.CounterVec
+	storeCalls *prometheus.CounterVec
+	logDropped prometheus.Counter
+}
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{.005, .02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4, 12.8, 25.6}
+
+func newMetrics(h *Host) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarackswitch_steer_requests_total", Help: "Answered requests by route, HTTP status and result code.",
+		}, []string{"route", "status", "code"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "tamarackswitch_steer_request_seconds", Help: "Time from the head of a request to its answer.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "tamarackswitch_steer_wait_seconds", Help: "Time that requests waited for a slot.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarackswitch_steer_sends_total", Help: "Requests sent to backend servers by route and result code.",
+		}, []string{"route", "code"}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarackswitch_steer_store_calls_total", Help: "Calls to the platform's store by kind of objects and outcome.",
+		}, []string{"kind", "outcome"}),
+		logDropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tamarackswitch_steer_log_dropped_total", Help: "Log lines that were dropped because of the rate limit.",
+		}),
+	}
+	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "tamarackswitch_steer_held_requests", Help: "Requests that were read and not answered.",
+	}, func() float64 { return float64(h.held.Load()) })
+	version := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "tamarackswitch_steer_table_version", Help: "Version of the tables in force.",
+	}, func() float64 {
+		if t := h.table.Load(); t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, held, version)
+	h.log.dropped = m.logDropped
+	return m
+}
+
+func (m *metrics) observe(x *exchange, status int, code result.Code) {
+	route := ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	m.requests.WithLabelValues(route, strconv.Itoa(status), code.Name()).Inc()
+	m.latency.WithLabelValues(route).Observe(time.Since(x.started).Seconds())
+	if x.waited > 0 {
+		m.waits.WithLabelValues(route).Observe(x.waited.Seconds())
+	}
+}
--- /dev/null
+++ b/pkg/steer/settings.go
@@ -0,0 +1,153 @@
+package steer
+
+import (
+	"bytes"
+	stderrors "errors"
+	"net/netip"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+	"github.com/tamarackswitch/tamarackswitch/pkg/units"
+)
+
+// Settings are the static settings of one entry host on a platform. The
+// platform fills deploy/entry.toml.tmpl in for each process.
+type Settings struct {
+	// Name is unique over all entry hosts.
+	Name string `toml:"name"`
+	// Domain is the failure domain of this host.
+	Domain string `toml:"domain"`
+	// Regions maps each failure domain to its region.
+	Regions  map[string]string `toml:"regions"`
+	Listen   Listen            `toml:"listen"`
+	Platform Platform          `toml:"platform"`
+	Bounds   Bounds            `toml:"bounds"`
+	Log      Log               `toml:"log"`
+}
+
+// Listen holds the addresses of the listeners, IP number and port.
+type Listen struct {
+	// Caller serves requests.
+	Caller string `toml:"caller"`
+	// Ready serves the platform's readiness checks.
+	Ready string `toml:"ready"`
+	// Lookup serves callers that ask for entry hosts.
+	Lookup string `toml:"lookup"`
+	// Control serves other entry hosts over HTTP.
+	Control string `toml:"control"`
+	// Peer takes the datagrams of other entry hosts.
+	Peer string `toml:"peer"`
+	// Metrics serves metrics and the state dump.
+	Metrics string `toml:"metrics"`
+	// Seeds are the control addresses of hosts that may be running.
+	Seeds []string `toml:"seeds"`
+}
+
+// Platform locates the platform's store.
+type Platform struct {
+	Address string `toml:"address"`
+}
+
+// Bounds are the limits that the deployment sets.
+type Bounds struct {
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace units.Duration `toml:"grace"`
+	// LookupLife is the longest time for which callers keep a look-up answer.
+	LookupLife units.Duration `toml:"lookup_life"`
+	// RetryRatio bounds repeated sends per request and pool, over all hosts.
+	RetryRatio float64 `toml:"retry_ratio"`
+	// RetryExtra is the number of repeated sends per RetryWindow allowed beside
+	// RetryRatio, over all hosts.
+	RetryExtra  int            `toml:"retry_extra"`
+	RetryWindow units.Duration `toml:"retry_window"`
+}
+
+// Log bounds the log.
+type Log struct {
+	// Level is debug, info, warn or error; default info.
+	Level string `toml:"level"`
+	// Rate is the largest number of lines per second; default 100.
+	Rate int `toml:"rate"`
+}
+
+const defaultLogRate = 100
+
+// LoadSettings reads and checks a settings file. The error is a *result.Error
+// with code SettingsInvalid and names file, line and field.
+func LoadSettings(file string) (*Settings, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, result.Wrap(err, result.SettingsInvalid, "settings file")
+	}
+	s := &Settings{Log: Log{Level: "info", Rate: defaultLogRate}}
+	d := toml.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		return nil, result.New(result.SettingsInvalid, "%s: %s", file, describe(err))
+	}
+	if err := s.check(); err != nil {
+		return nil, result.New(result.SettingsInvalid, "%s: %s", file, err.Message)
+	}
+	return s, nil
+}
+
+// describe adds line and column to errors of the TOML decoder.
+func describe(err error) string {
+	var strict *toml.StrictMissingError
+	if stderrors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, col := strict.Errors[0].Position()
+		return result.New(result.SettingsInvalid, "line %d, column %d: unknown field %v", row, col, strict.Errors[0].Key()).Message
+	}
+	var decode *toml.DecodeError
+	if stderrors.As(err, &decode) {
+		row, col := decode.Position()
+		return result.New(result.SettingsInvalid, "line %d, column %d: %v", row, col, decode).Message
+	}
+	return err.Error()
+}
+
+func (s *Settings) check() *result.Error {
+	bad := func(field, format string, args ...any) *result.Error {
+		return result.New(result.SettingsInvalid, field+": "+format, args...)
+	}
+	if s.Name == "" {
+		return bad("name", "is missing")
+	}
+	if s.Regions[s.Domain] == "" {
+		return bad("domain", "%q has no region in [regions]", s.Domain)
+	}
+	for _, a := range []struct{ field, value string }{
+		{"listen.caller", s.Listen.Caller}, {"listen.ready", s.Listen.Ready}, {"listen.lookup", s.Listen.Lookup},
+		{"listen.control", s.Listen.Control}, {"listen.peer", s.Listen.Peer}, {"listen.metrics", s.Listen.Metrics},
+		{"platform.address", s.Platform.Address},
+	} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return bad(a.field, "%q is not an IP number and port", a.value)
+		}
+	}
+	for _, seed := range s.Listen.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return bad("listen.seeds", "%q is not an IP number and port", seed)
+		}
+	}
+	switch b := s.Bounds; {
+	case b.Grace <= 0:
+		return bad("bounds.grace", "must be positive")
+	case b.LookupLife <= 0:
+		return bad("bounds.lookup_life", "must be positive")
+	case b.RetryRatio < 0 || b.RetryRatio > 1:
+		return bad("bounds.retry_ratio", "%v is not between 0 and 1", b.RetryRatio)
+	case b.RetryExtra < 0:
+		return bad("bounds.retry_extra", "is negative")
+	case b.RetryWindow <= 0:
+		return bad("bounds.retry_window", "must be positive")
+	case s.Log.Rate <= 0:
+		return bad("log.rate", "must be positive")
+	}
+	return nil
+}
+
+// Region returns the region of this host.
+func (s *Settings) Region() string { return s.Regions[s.Domain] }
