Relay the store's changes inside each region from one watcher

Ruled out: longer watches (cheaper, but later still). Change: pkg/core/feed orders the hosts of a region; the first with an up to date copy watches for 1 s at a time, the others fetch deltas from it; beacons tell age and versions.

--- /dev/null
+++ b/pkg/core/feed/watchers.go
@@ -0,0 +1,71 @@
+package feed
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
+)
+
+// Times of the decision who asks the store.
+const (
+	// StaleAfter is the age of a host's copy from which on it does not count as
+	// up to date. A watcher asks the store again within WatchWait.
+	StaleAfter = 1600 * time.Millisecond
+	// WatchWait is how long one watch call waits. The store may fail to tell a
+	// waiting watch of a change, which the next call then finds.
+	WatchWait = time.Second
+	// turn is the time by which the hosts of a region that take over for a
+	// watcher follow each other, so that not all of them ask at once.
+	turn = 200 * time.Millisecond
+	// turnsMost bounds the turns that the last host of a large region waits.
+	turnsMost = 8
+	// watchName is the key by which the hosts of a region are ordered.
+	watchName = "watch"
+)
+
+// Copy tells how old another host's copy of the store is.
+type Copy struct {
+	Host string
+	// Watching is set if the host asks the store itself.
+	Watching bool
+	Age      time.Duration
+}
+
+// Role says what this host does to stay up to date.
+type Role struct {
+	// Watch is set if this host asks the store.
+	Watch bool
+	// Follow is the host whose copy is taken instead, if any.
+	Follow string
+}
+
+// Choose decides whether self asks the store or follows another host of its
+// region. The hosts are ordered by rendezvous hashing; the first watcher whose
+// copy is up to date is followed. Without any, the hosts ask the store in turn.
+// age is that of self's copy.
+func Choose(self string, watching bool, age time.Duration, others []Copy) Role {
+	names := []string{self}
+	fresh := map[string]bool{}
+	for _, c := range others {
+		names = append(names, c.Host)
+		fresh[c.Host] = c.Watching && c.Age < StaleAfter
+	}
+	order := rendezvous.Top(watchName, names, len(names))
+	mine := slices.Index(order, self)
+	for _, name := range order[:mine] {
+		if fresh[name] {
+			return Role{Follow: name}
+		}
+	}
+	if mine == 0 || watching {
+		return Role{Watch: true}
+	}
+	// A host behind in the order has taken over.
+	for _, name := range order[mine+1:] {
+		if fresh[name] {
+			return Role{Follow: name}
+		}
+	}
+	return Role{Watch: age >= StaleAfter+time.Duration(min(mine-1, turnsMost))*turn}
+}
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -8,8 +8,10 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 )
 
-// Times after an outage of the store.
+// Times of an outage of the store.
 const (
+	// downAfter is the age of the copy above which the store counts as away.
+	downAfter = 2500 * time.Millisecond
 	// returnTime is how long servers have after the store's return to announce
 	// themselves again (platform: about 2 s).
 	returnTime = 2 * time.Second
@@ -39,13 +41,14 @@
 	return &Registry{servers: map[string]fleet.Server{}, lapsed: map[string]time.Time{}}
 }
 
-// StoreFailed records that the store did not answer.
-func (r *Registry) StoreFailed() { r.down = true }
-
-// StoreAnswered records that the store answered.
-func (r *Registry) StoreAnswered(now time.Time) {
-	if r.down {
+// Observe takes the age of what is known of the store: an old copy means that
+// the store is away.
+func (r *Registry) Observe(now time.Time, age time.Duration) {
+	switch down := age > downAfter; {
+	case r.down && !down:
 		r.down, r.returned = false, now
+	case down:
+		r.down = true
 	}
 }
 
@@ -53,6 +56,7 @@
 // leave at once, unless the store was away: then they stay until they had the
 // time to announce themselves again.
 func (r *Registry) Set(now time.Time, list []fleet.Server) {
+	r.Observe(now, 0)
 	listed := make(map[string]bool, len(list))
 	addresses := make(map[string]bool, len(list))
 	for _, s := range list {
@@ -79,11 +83,8 @@
 		switch {
 		case s.Draining || addresses[s.Address]:
 			delete(r.servers, id)
-		case r.down || now.Sub(r.returned) < returnTime:
-			r.lapsed[id] = now.Add(returnTime)
-			if !r.down {
-				r.lapsed[id] = r.returned.Add(returnTime)
-			}
+		case now.Sub(r.returned) < returnTime:
+			r.lapsed[id] = r.returned.Add(returnTime)
 		case mass:
 			r.lapsed[id] = now.Add(massTime)
 		default:
@@ -97,9 +98,6 @@
 func (r *Registry) Expire(now time.Time) bool {
 	changed := false
 	for id, until := range r.lapsed {
-		if r.down {
-			continue
-		}
 		if !now.Before(until) {
 			delete(r.lapsed, id)
 			delete(r.servers, id)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -131,9 +131,11 @@
 	Name   string `cbor:"1,keyasint" json:"name"`
 	Domain string `cbor:"2,keyasint" json:"domain"`
 	Region string `cbor:"3,keyasint" json:"region"`
-	// Caller and Peer are the addresses for callers and for other hosts.
-	Caller string `cbor:"4,keyasint" json:"caller"`
-	Peer   string `cbor:"5,keyasint" json:"peer"`
+	// Caller is the address for callers; Peer and Control are those for the
+	// datagrams and the HTTP calls of other hosts.
+	Caller  string `cbor:"4,keyasint" json:"caller"`
+	Peer    string `cbor:"5,keyasint" json:"peer"`
+	Control string `cbor:"7,keyasint" json:"control"`
 	// Started is the start of the process in milliseconds since 1970.
 	Started int64 `cbor:"6,keyasint" json:"started"`
 }
--- a/pkg/steer/sink.go
+++ b/pkg/steer/apply.go
@@ -11,23 +11,23 @@
 // registryTick is how often lapsed servers are looked at.
 const registryTick = 200 * time.Millisecond
 
-// SetTable puts a version in force. Older versions are ignored: within a
+// applyTable puts a version in force. Older versions are ignored: within a
 // process versions only grow.
-func (h *Host) SetTable(t *fleet.Table) {
+func (h *Host) applyTable(t *fleet.Table) {
 	h.tableMu.Lock()
 	defer h.tableMu.Unlock()
 	old := h.table.Load()
 	if old != nil && old.Version >= t.Version {
 		return
 	}
+	t.Index()
 	h.table.Store(t)
-	h.tableAt.Store(time.Now().UnixMilli())
 	h.log.tableApplied(old, t)
 	h.updatePools()
 }
 
-// SetServers takes the backend servers that the store lists.
-func (h *Host) SetServers(list []fleet.Server) {
+// applyServers takes the backend servers that the store lists.
+func (h *Host) applyServers(list []fleet.Server) {
 	h.registryMu.Lock()
 	h.registry.Set(time.Now(), list)
 	n, lapsed := h.registry.Counts()
@@ -36,8 +36,8 @@
 	h.updatePools()
 }
 
-// SetEvacuated takes the failure domains whose servers get no requests.
-func (h *Host) SetEvacuated(domains []string) {
+// applyEvacuated takes the failure domains whose servers get no requests.
+func (h *Host) applyEvacuated(domains []string) {
 	set := make(map[string]bool, len(domains))
 	for _, d := range domains {
 		set[d] = true
@@ -49,27 +49,11 @@
 	h.updatePools()
 }
 
-// StoreAnswered records that the store answered.
-func (h *Host) StoreAnswered(kind string) {
-	h.registryMu.Lock()
-	h.registry.StoreAnswered(time.Now())
-	h.registryMu.Unlock()
-	h.log.storeAnswered(kind)
-	h.metrics.storeCalls.WithLabelValues(kind, "answered").Inc()
-}
-
-// StoreFailed records that a call to the store failed.
-func (h *Host) StoreFailed(kind string, err error) {
-	h.registryMu.Lock()
-	h.registry.StoreFailed()
-	h.registryMu.Unlock()
-	h.log.storeFailed(kind, err)
-	h.metrics.storeCalls.WithLabelValues(kind, "failed").Inc()
-}
-
 // expireServers removes servers whose entry lapsed and did not come back.
 func (h *Host) expireServers(now time.Time) {
+	age := h.follow.age(now)
 	h.registryMu.Lock()
+	h.registry.Observe(now, age)
 	changed := h.registry.Expire(now)
 	h.registryMu.Unlock()
 	if changed {
--- a/pkg/steer/control.go
+++ b/pkg/steer/control.go
@@ -12,7 +12,11 @@
 )
 
 // controlHandler serves other entry hosts.
-func (h *Host) controlHandler() http.Handler { return bunrouter.New() }
+func (h *Host) controlHandler() http.Handler {
+	r := bunrouter.New()
+	r.Compat().GET(feedPath, h.serveFeed)
+	return r
+}
 
 // metricsHandler serves metrics and the state dump.
 func (h *Host) metricsHandler() http.Handler {
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -52,7 +52,6 @@
 	servers []*http.Server
 
 	table     atomic.Pointer[fleet.Table]
-	tableAt   atomic.Int64 // when the table was applied, ms since 1970
 	tableMu   sync.Mutex
 	evacuated atomic.Pointer[map[string]bool]
 
@@ -62,8 +61,10 @@
 	poolsMu sync.RWMutex
 	pools   map[string]*pool
 
+	follow  *follower
 	splits  splits
 	peers   *peers
+	udp     *net.UDPConn
 	forward *forward.Forwarder
 	metrics *metrics
 
@@ -77,10 +78,10 @@
 	h := &Host{
 		cfg: cfg, names: names, source: source, log: newEventLog(logger, cfg.Log.Rate), region: cfg.Region(),
 		self: fleet.EntryHost{
-			Name: cfg.Name, Domain: cfg.Domain, Region: cfg.Region(), Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer,
+			Name: cfg.Name, Domain: cfg.Domain, Region: cfg.Region(), Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer, Control: cfg.Listen.Control,
 			Started: time.Now().UnixMilli(),
 		},
-		registry: registry.New(), pools: map[string]*pool{},
+		follow: newFollower(), registry: registry.New(), pools: map[string]*pool{},
 		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}),
 	}
 	h.peers = newPeers(h.self)
@@ -112,13 +113,8 @@
 		return result.Wrap(err, result.ListenFailed, "listen.peer")
 	}
 	h.startPeers(conn)
-	h.tomb.Go(func() error {
-		err := h.source.Run(h.tomb.Context(context.Background()), h)
-		if h.tomb.Alive() {
-			return err
-		}
-		return nil
-	})
+	h.chooseRole(time.Now())
+	h.every(roleTick, h.chooseRole)
 	h.every(registryTick, h.expireServers)
 	h.log.start(h)
 	return nil
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
@@ -55,6 +56,14 @@
 
 func (l *eventLog) peerLost(name string) { l.Warn().Str("peer", name).Msg("peer is silent") }
 
+func (l *eventLog) role(r feed.Role) {
+	l.Info().Bool("watch", r.Watch).Str("follow", r.Follow).Msg("source of the store's changes chosen")
+}
+
+func (l *eventLog) historyGone(kind feed.Kind) {
+	l.Info().Str("kind", kind.String()).Msg("history of the store is gone, listing anew")
+}
+
 func (l *eventLog) tableApplied(old, t *fleet.Table) {
 	e := l.Info().Int64("version", t.Version).Int("routes", len(t.Routes)).Int("pools", len(t.Pools))
 	if old != nil {
--- a/pkg/steer/names.go
+++ b/pkg/steer/names.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
 )
@@ -24,10 +28,17 @@
 	AffinityKey func(*http.Request) string
 }
 
-// Source delivers what the platform's store holds and publishes this host.
+// ErrHistoryGone means that a watch cannot continue and a new list is needed.
+const ErrHistoryGone = errors.ConstError("the store no longer has the history")
+
+// Source reads the platform's store and publishes this host. Errors of its
+// calls mean that the store did not answer.
 type Source interface {
-	// Run delivers changes to the sink until ctx ends.
-	Run(ctx context.Context, sink Sink) error
+	// List returns all items of a kind.
+	List(ctx context.Context, kind feed.Kind) (feed.Changes, error)
+	// Watch waits up to wait for changes after a revision, or returns
+	// ErrHistoryGone.
+	Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Changes, error)
 	// Register publishes this host.
 	Register(ctx context.Context, h fleet.EntryHost) error
 	// Unregister removes the entry of a host that is gone.
@@ -35,16 +46,3 @@
 	// Hosts returns the published hosts; the list may be seconds old.
 	Hosts(ctx context.Context) ([]fleet.EntryHost, error)
 }
-
-// Sink takes what a Source delivers. Calls are concurrent.
-type Sink interface {
-	// SetTable takes a version of the tables.
-	SetTable(*fleet.Table)
-	// SetServers takes all backend servers.
-	SetServers([]fleet.Server)
-	// SetEvacuated takes the failure domains whose servers get no requests.
-	SetEvacuated(domains []string)
-	// StoreAnswered and StoreFailed report each call for a kind of objects.
-	StoreAnswered(kind string)
-	StoreFailed(kind string, err error)
-}
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 )
@@ -39,6 +40,10 @@
 	Ready   bool            `cbor:"3,keyasint"`
 	// Loads are the requests in progress by server.
 	Loads map[string]int `cbor:"4,keyasint,omitempty"`
+	// Watching, AgeMS and Versions describe the host's copy of the store.
+	Watching bool              `cbor:"5,keyasint,omitempty"`
+	AgeMS    uint32            `cbor:"6,keyasint"`
+	Versions [feed.Kinds]int64 `cbor:"7,keyasint"`
 }
 
 // peerState is what is known of another host.
@@ -48,6 +53,10 @@
 	heard   time.Time // zero until a beacon arrived
 	leaving bool
 	ready   bool
+	// watching, age and versions describe its copy of the store when heard.
+	watching bool
+	age      time.Duration
+	versions [feed.Kinds]int64
 }
 
 func (p *peerState) alive(now time.Time) bool { return now.Sub(p.heard) < peerLife }
@@ -88,6 +97,30 @@
 		return
 	}
 	s.heard, s.leaving, s.ready = now, b.Leaving, b.Ready
+	s.watching, s.age, s.versions = b.Watching, time.Duration(b.AgeMS)*time.Millisecond, b.Versions
+}
+
+// copies returns the copies of the store of the region's other hosts.
+func (p *peers) copies(now time.Time) []feed.Copy {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var out []feed.Copy
+	for name, s := range p.hosts {
+		if s.alive(now) && !s.leaving {
+			out = append(out, feed.Copy{Host: name, Watching: s.watching, Age: s.age + now.Sub(s.heard)})
+		}
+	}
+	return out
+}
+
+// get returns what is known of a host.
+func (p *peers) get(name string) (peerState, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if s := p.hosts[name]; s != nil {
+		return *s, true
+	}
+	return peerState{}, false
 }
 
 // count returns the number of known hosts, this one included.
@@ -166,6 +199,7 @@
 // startPeers publishes this host, finds the others and exchanges beacons.
 func (h *Host) startPeers(conn net.PacketConn) {
 	udp := conn.(*net.UDPConn)
+	h.udp = udp
 	h.tomb.Go(func() error {
 		<-h.tomb.Dying()
 		return udp.Close()
@@ -189,6 +223,7 @@
 	}
 	b := beacon{Host: h.self, Leaving: h.leaving.Load(), Ready: h.ready(), Loads: map[string]int{}}
 	h.eachPool(func(p *pool) { p.loads(b.Loads) })
+	h.follow.describe(time.Now(), &b)
 	raw, err := cbor.Marshal(&b)
 	if err == nil && len(raw) > maxBeacon {
 		b.Loads = nil
@@ -204,6 +239,12 @@
 	}
 }
 
+// beaconNow tells the region of a change at once.
+func (h *Host) beaconNow() {
+	now := time.Now()
+	h.sendBeacons(h.udp, append(h.peers.targets(now, true), h.peers.targets(now, false)...))
+}
+
 func (h *Host) hearBeacons(conn *net.UDPConn) error {
 	buf := make([]byte, 2*maxBeacon)
 	for {
@@ -225,6 +266,9 @@
 		}
 		h.peers.hear(time.Now(), &b)
 		h.takeLoads(b.Host.Name, b.Loads)
+		if h.follow.follows(b.Host.Name) {
+			h.fetch(time.Now(), b.Host.Name)
+		}
 	}
 }
 
