Give each key to a region instead of spreading requests over regions

Ruled out: shortage of slots (60 of 108 needed with known objects), processor time of the entry hosts (0.03 of 0.22 cores). Change: a slowly moving share of the keys belongs to other regions; its first value follows from the slots; at most 4% of the requests leave their key's region when it is full. Only answers of servers without waiting requests teach service times.

--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -109,6 +109,8 @@
 	services map[string]*[classes]estimate
 	peers    map[string]map[string]int
 	share    Share
+	// remote is the share of taken slots that servers of other regions told.
+	remote   float64
 	coldRate float64
 	// OwnsCold tells whether this host sends to a cold server.
 	OwnsCold func(s fleet.Server) bool
@@ -168,6 +170,21 @@
 		p.order = append(p.order, s)
 	}
 	p.sumPeers()
+	p.share.Start(p.capacity())
+}
+
+// capacity returns the slots of the own region, of all, and the number of
+// regions.
+func (p *Pool) capacity() (own, all, regions int) {
+	seen := map[string]bool{p.region: true}
+	for _, s := range p.order {
+		seen[s.region] = true
+		all += s.Slots
+		if s.region == p.region {
+			own += s.Slots
+		}
+	}
+	return own, all, len(seen)
 }
 
 // PeerLoad records the requests in progress of another host, by server.
@@ -210,14 +227,17 @@
 	load, cost float64
 	wait       float64
 	class      int
-	service    float64
+	// plain is the expected service time of a server of usual speed, service
+	// that of this one with the way there.
+	plain, service float64
 }
 
 // Pick chooses a server. The caller must report Started after a Send.
+//
+// A key belongs to the own region or, for the share of keys that the region has
+// no room for, to the others, so that each server sees the same keys again.
 func (p *Pool) Pick(now time.Time, n Need) Choice {
 	local, remote := p.best(now, n, true), p.best(now, n, false)
-	pressure, known := p.pressure(now)
-	p.share.Update(now, pressure, known)
 	switch {
 	case local == nil && remote == nil:
 		return Choice{Verdict: NoServer}
@@ -226,16 +246,33 @@
 	case remote == nil:
 		return p.decide(n, local, false)
 	}
-	if p.share.Take() && remote.cost < local.cost+n.Target.Seconds()/2 {
-		return p.decide(n, remote, true)
+	away := p.share.Away(n.Key)
+	home, other := local, remote
+	if away {
+		home, other = remote, local
+	}
+	choice := p.decide(n, home, away)
+	if choice.Verdict == Send && choice.Expected <= n.Target {
+		return choice
+	}
+	second := p.decide(n, other, !away)
+	if second.Verdict == Send && (choice.Verdict != Send || second.Expected <= n.Target) && p.share.Overflow() {
+		return second
 	}
-	return p.decide(n, local, false)
+	return choice
+}
+
+// Request counts a new request of the pool and moves the share of keys that
+// belong to other regions.
+func (p *Pool) Request(now time.Time) {
+	local, known := p.pressure(now)
+	p.share.Update(now, local, p.remote, known)
 }
 
 func (p *Pool) decide(n Need, c *candidate, remote bool) Choice {
 	choice := Choice{
 		Server: c.Server, Remote: remote, Expected: seconds(c.wait + c.service), Load: c.load,
-		class: c.class, service: seconds(c.service),
+		class: c.class, service: seconds(c.plain),
 	}
 	limit := float64(c.Slots) * (1 + queueShare)
 	if n.Patient {
@@ -268,7 +305,8 @@
 		case s == second:
 			c.class = classSecond
 		}
-		c.service = service[c.class] * s.slow
+		c.plain = service[c.class]
+		c.service = c.plain * s.slow
 		if over := c.load - float64(s.Slots) + 1; over > 0 {
 			c.wait = over / float64(s.Slots) * service[classFirst] * s.slow
 		}
@@ -401,24 +439,27 @@
 	}
 }
 
-// answered learns from a good answer.
+// answered learns from a good answer. Only requests that did not wait at the
+// server show its service time.
 func (p *Pool) answered(now time.Time, s *server, c Choice, n Need, took time.Duration) {
 	s.observe(now, false)
 	s.rest, s.trial = 0, false
 	if c.Remote {
 		took = max(took-RemoteTime, time.Millisecond)
 	}
-	// Requests that found a free slot show the service time.
-	if c.Load < float64(s.Slots) && !s.isCold(now) {
-		known := p.services[n.Route]
-		if known == nil {
-			known = new([classes]estimate)
-			p.services[n.Route] = known
-		}
+	if s.isCold(now) || c.Load >= float64(s.Slots) || s.queued {
+		return
+	}
+	known := p.services[n.Route]
+	if known == nil {
+		known = new([classes]estimate)
+		p.services[n.Route] = known
+	}
+	if s.slow < 2 {
 		known[c.class].add(took)
 	}
-	if c.Expected > 0 {
-		ratio := s.slow * float64(took) / float64(c.Expected)
+	if c.service > 0 {
+		ratio := float64(took) / float64(c.service)
 		s.slow += smoothing * (ratio - s.slow)
 		s.slow = min(max(s.slow, slowMin), slowMost)
 	}
@@ -435,9 +476,15 @@
 }
 
 // Reported records the load that a server told: running and waiting requests.
-func (p *Pool) Reported(now time.Time, id string, load int) {
-	if s := p.servers[id]; s != nil {
-		s.reported, s.reportedAt = load, now
+// Call it before Finished.
+func (p *Pool) Reported(now time.Time, id string, running, waiting int) {
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	s.reported, s.reportedAt, s.queued = running+waiting, now, waiting > 0
+	if s.region != p.region {
+		p.remote += smoothing * (float64(s.reported)/float64(s.Slots) - p.remote)
 	}
 }
 
--- a/pkg/core/placing/server.go
+++ b/pkg/core/placing/server.go
@@ -40,6 +40,7 @@
 	// reported is the load that the server told with its last answer.
 	reported   int
 	reportedAt time.Time
+	queued     bool // requests waited at the server when it reported
 	slow       float64
 	failing    float64
 	failedAt   time.Time // when failing was last updated
--- a/pkg/core/placing/share.go
+++ b/pkg/core/placing/share.go
@@ -1,64 +1,88 @@
 package placing
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
+)
 
 // Settings of Share.
 const (
-	// shareRate is the largest change of the remote share per second. Two
-	// adjacent windows of 2 s then differ by at most 0.06 in the mean, which
-	// leaves room for chance below the platform's cap of 0.15.
-	shareRate = 0.03
+	// shareRate is the largest change of the share per second. Two adjacent
+	// windows of 2 s then differ by at most 0.08 in the mean, which leaves room
+	// for chance and for the overflow below the platform's cap of 0.15.
+	shareRate = 0.04
 	// pressureHigh and pressureLow are the shares of taken slots above which
-	// work moves to other regions, and below which it comes back.
-	pressureHigh, pressureLow = 0.85, 0.65
-	shareMost                 = 0.7
-	// shareStart is the time after the first request in which the share may
-	// change ten times as fast, because there is no earlier traffic to shift.
-	shareStart = 2 * time.Second
+	// keys move to other regions, and below which they come back.
+	pressureHigh, pressureLow = 0.75, 0.5
+	// pressureGap is how much fuller than the others a region has to be.
+	pressureGap = 0.1
+	shareMost   = 0.8
+	// overflowShare is the part of the requests that may leave their key's
+	// region because it is full at the moment.
+	overflowShare = 0.04
+	overflowBurst = 3
+	// usualLoad is the share of all slots that is taken on an ordinary day; it
+	// sets the share with which a process starts.
+	usualLoad = 0.6
+	// awayKey keeps the order of keys in Away apart from that of servers.
+	awayKey = "away"
 )
 
-// Share is the fraction of requests that run in another region. It moves
+// Share is the fraction of a pool's keys that belong to other regions. It moves
 // slowly, so that a wave of load does not throw the work between regions.
 type Share struct {
 	fraction float64
-	owed     float64
+	started  bool
 	updated  time.Time
-	first    time.Time
+	overflow float64
 }
 
-// Update moves the fraction by the pressure on the own region's slots. known
-// is false if the region has none.
-func (s *Share) Update(now time.Time, pressure float64, known bool) {
-	if s.first.IsZero() {
-		s.first, s.updated = now, now
+// Start sets the first value from the slots of the own region and of all
+// regions, as if each region had the same demand.
+func (s *Share) Start(own, all, regions int) {
+	if s.started || all == 0 {
+		return
 	}
+	s.started = true
+	demand := usualLoad * float64(all) / float64(regions)
+	s.fraction = min(max(1-pressureHigh*float64(own)/demand, 0), shareMost)
+}
+
+// Update moves the fraction by the shares of taken slots of the own region and
+// of the others. known is false if the own region has no slots.
+func (s *Share) Update(now time.Time, local, remote float64, known bool) {
 	elapsed := min(now.Sub(s.updated).Seconds(), 1)
-	s.updated = now
-	if !known {
-		return
+	if s.updated.IsZero() {
+		elapsed = 0
 	}
+	s.updated = now
+	s.overflow = min(s.overflow+overflowShare, overflowBurst)
 	step := shareRate * elapsed
-	if now.Sub(s.first) < shareStart {
-		step *= 10
-	}
 	switch {
-	case pressure > pressureHigh:
+	case !known:
+	case local > pressureHigh && local > remote+pressureGap:
 		s.fraction = min(s.fraction+step, shareMost)
-	case pressure < pressureLow:
+	case local < pressureLow || remote > local+pressureGap:
 		s.fraction = max(s.fraction-step, 0)
 	}
 }
 
-// Take reports whether the next request runs in another region. Requests are
-// spread evenly instead of by chance.
-func (s *Share) Take() bool {
-	s.owed += s.fraction
-	if s.owed < 1 {
+// Away reports whether a key belongs to other regions. As the fraction grows,
+// keys join those that belong there already.
+func (s *Share) Away(key string) bool {
+	return float64(rendezvous.Weight(key, awayKey))/math.MaxUint64 < s.fraction
+}
+
+// Overflow takes one request that may leave its key's region, if there is one.
+func (s *Share) Overflow() bool {
+	if s.overflow < 1 {
 		return false
 	}
-	s.owed--
+	s.overflow--
 	return true
 }
 
-// Fraction returns the fraction of requests that run in another region.
+// Fraction returns the fraction of keys that belong to other regions.
 func (s *Share) Fraction() float64 { return s.fraction }
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -19,8 +19,8 @@
 const (
 	// beaconEvery is the interval of the beacons to hosts of the same failure
 	// domain, beaconFar of those to the other domains of the region.
-	beaconEvery = 100 * time.Millisecond
-	beaconFar   = 300 * time.Millisecond
+	beaconEvery = 60 * time.Millisecond
+	beaconFar   = 120 * time.Millisecond
 	// peerLife is the time without a beacon after which a host counts as gone.
 	peerLife  = 1200 * time.Millisecond
 	maxBeacon = 1400 // bytes, one packet
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -180,7 +180,9 @@
 func (p *pool) countRequest(hosts int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.repeats.Request(time.Now(), hosts)
+	now := time.Now()
+	p.repeats.Request(now, hosts)
+	p.place.Request(now)
 }
 
 // takeRepeat takes a repeated send from the budget.
@@ -191,10 +193,10 @@
 }
 
 // reported records the load that a server told.
-func (p *pool) reported(server string, load int) {
+func (p *pool) reported(server string, running, waiting int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.place.Reported(time.Now(), server, load)
+	p.place.Reported(time.Now(), server, running, waiting)
 }
 
 // peerLoad records the requests in progress of another host.
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -192,13 +192,15 @@
 		RequestID: x.id, ExpectServer: x.choice.Server.ID, DeadlineAt: x.deadline, AnswerSlack: answerSlack, Body: x.body,
 	})
 	took := time.Since(sent)
+	if err == nil {
+		h.learn(x, answer)
+	}
 	x.pool.finish(x.choice, x.need, outcomeOf(answer, err), took)
 	h.metrics.sends.WithLabelValues(x.route.Name, codeName(err)).Inc()
 	if err != nil {
 		h.log.attempt(x, took, err)
 		return nil, err
 	}
-	h.learn(x, answer)
 	return answer, nil
 }
 
@@ -212,7 +214,7 @@
 	if !ok {
 		return // a malformed load is worth as much as none
 	}
-	x.pool.reported(x.choice.Server.ID, running+waiting)
+	x.pool.reported(x.choice.Server.ID, running, waiting)
 }
 
 // parseLoad reads "running,waiting,slots".
