Reserve slots for urgent work by its recent share instead of by the table

Cause: routes without traffic made every other route of their pool count as patient: bookings used 3 of 4 slots and 834 of 3,493 were rejected in 14 calm seconds.

--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -9,7 +9,6 @@
 package placing
 
 import (
-	"math"
 	"time"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
@@ -37,9 +36,13 @@
 	// queueShare bounds the requests that wait at a server, as a share of its
 	// slots.
 	queueShare = 0.6
-	// urgentReserve is the share of a server's slots that requests of lower
-	// priority leave free for more urgent ones.
-	urgentReserve = 0.2
+	// reserveFactor and reserveMost bound the share of a server's slots that
+	// requests leave free for more urgent ones: a multiple of the share of slot
+	// time that those take, because they come in bursts.
+	reserveFactor = 1.5
+	reserveMost   = 0.3
+	// reserveLeast is the share below which nothing is left free.
+	reserveLeast = 0.03
 )
 
 // Need is a request to place.
@@ -47,11 +50,11 @@
 	Key        string
 	Route      string
 	Idempotent bool
-	// Patient is set if the pool also serves more urgent routes.
-	Patient bool
-	Target  time.Duration
-	Left    time.Duration // until the deadline
-	Exclude []string      // servers that were tried
+	// Priority orders routes by urgency; 0 is the most urgent.
+	Priority int
+	Target   time.Duration
+	Left     time.Duration // until the deadline
+	Exclude  []string      // servers that were tried
 	// Regions, if any, are the only ones that may run the request.
 	Regions []string
 }
@@ -111,6 +114,7 @@
 	share    Share
 	// remote is the share of taken slots that servers of other regions told.
 	remote   float64
+	demand   demand
 	coldRate float64
 	// OwnsCold tells whether this host sends to a cold server.
 	OwnsCold func(s fleet.Server) bool
@@ -264,7 +268,8 @@
 
 // Request counts a new request of the pool and moves the share of keys that
 // belong to other regions.
-func (p *Pool) Request(now time.Time) {
+func (p *Pool) Request(now time.Time, n Need) {
+	p.demand.add(now, n.Priority, p.estimates(n)[classFirst])
 	local, known := p.pressure(now)
 	p.share.Update(now, local, p.remote, known)
 }
@@ -275,8 +280,8 @@
 		class: c.class, service: seconds(c.plain),
 	}
 	limit := float64(c.Slots) * (1 + queueShare)
-	if n.Patient {
-		limit = max(math.Floor(float64(c.Slots)*(1-urgentReserve)), 1)
+	if reserve := p.demand.reserve(n.Priority); reserve > 0 {
+		limit = max(float64(c.Slots)*(1-reserve), 1)
 	}
 	switch {
 	case choice.Expected > n.Left:
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -68,24 +68,18 @@
 
 	byHost map[string][]*Route
 	pools  map[string]*Pool
-	urgent map[string]int // smallest priority by pool
 }
 
 // Index prepares the table for look-ups. Call it once before the table is
 // shared.
 func (t *Table) Index() {
-	t.byHost, t.pools, t.urgent = map[string][]*Route{}, map[string]*Pool{}, map[string]int{}
+	t.byHost, t.pools = map[string][]*Route{}, map[string]*Pool{}
 	for i := range t.Pools {
 		t.pools[t.Pools[i].Name] = &t.Pools[i]
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
-		for _, target := range r.Targets {
-			if p, ok := t.urgent[target.Pool]; !ok || r.Priority < p {
-				t.urgent[target.Pool] = r.Priority
-			}
-		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -105,9 +99,6 @@
 // Pool returns the pool of that name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
-// MostUrgent returns the smallest priority among the routes of a pool.
-func (t *Table) MostUrgent(pool string) int { return t.urgent[pool] }
-
 // Server is one backend server as it announced itself.
 type Server struct {
 	ID      string `cbor:"1,keyasint"`
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -177,12 +177,12 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // countRequest counts a request into the budget of repeats.
-func (p *pool) countRequest(hosts int) {
+func (p *pool) countRequest(need placing.Need, hosts int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.repeats.Request(now, hosts)
-	p.place.Request(now)
+	p.place.Request(now, need)
 }
 
 // takeRepeat takes a repeated send from the budget.
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -131,7 +131,7 @@
 	}
 	x.need = placing.Need{
 		Key: key, Route: x.route.Name, Idempotent: x.route.Idempotent, Target: x.route.TargetLatency,
-		Patient: x.route.Priority > x.table.MostUrgent(target), Regions: x.route.Homes,
+		Priority: x.route.Priority, Regions: x.route.Homes,
 	}
 	return nil
 }
@@ -155,7 +155,7 @@
 // send places the request and forwards it, to another server if the first did
 // not run it, or failed and the request may run again.
 func (h *Host) send(x *exchange) (*forward.Answer, *result.Error) {
-	x.pool.countRequest(h.peers.count())
+	x.pool.countRequest(x.need, h.peers.count())
 	for {
 		choice, waited, err := x.pool.acquire(x.in.Context(), x.need, x.route.Priority, x.deadline)
 		x.waited += waited
