Bound queues at servers by the slack of the most urgent route

Change: a server takes requests up to its slots, a queue that fits the slack of the most urgent routes, less what those need; unknown objects run elsewhere only while the pool has room; patient routes leave the region first.

--- a/pkg/core/placing/demand.go
+++ b/pkg/core/placing/demand.go
@@ -5,42 +5,89 @@
 	"time"
 )
 
-// demandHalf is the time in which past requests lose half of their weight.
-const demandHalf = 2 * time.Second
+// Settings of the limits that follow from the demand.
+const (
+	// demandHalf is the time in which past requests lose half of their weight.
+	demandHalf = 2 * time.Second
+	// demandMean is the time over which decayed requests count as one second's.
+	demandMean = float64(demandHalf) / float64(time.Second) / math.Ln2
+	// reserveDeviations is how many standard deviations of the urgent requests
+	// in progress at one server are left free beside their mean.
+	reserveDeviations = 1.3
+	// reserveMost bounds the share of a server's slots that are left free.
+	reserveMost = 0.4
+	// reserveLeast is the number of urgent requests in progress per server below
+	// which nothing is left free.
+	reserveLeast = 0.05
+	// slackShare is the part of the time that a request can spare which it may
+	// spend in a server's queue.
+	slackShare = 0.25
+	// queueMost bounds the requests in a server's queue, as a share of its slots.
+	queueMost = 0.6
+)
 
-// demand is the slot time that recent requests asked for, by priority.
+// demand is what recent requests of a pool asked for, by route.
 type demand struct {
-	seconds map[int]float64
+	routes  map[string]*routeDemand
 	updated time.Time
 }
 
+type routeDemand struct {
+	priority int
+	target   float64 // seconds
+	seconds  float64 // slot time
+	count    float64
+}
+
 // add counts a request that takes service seconds.
-func (d *demand) add(now time.Time, priority int, service float64) {
-	if d.seconds == nil {
-		d.seconds = map[int]float64{}
+func (d *demand) add(now time.Time, n Need, service float64) {
+	if d.routes == nil {
+		d.routes = map[string]*routeDemand{}
 	}
 	if elapsed := now.Sub(d.updated); !d.updated.IsZero() && elapsed > 0 {
 		keep := math.Exp2(-float64(elapsed) / float64(demandHalf))
-		for k := range d.seconds {
-			d.seconds[k] *= keep
+		for name, r := range d.routes {
+			r.seconds *= keep
+			if r.count *= keep; r.count < 1e-3 {
+				delete(d.routes, name)
+			}
 		}
 	}
 	d.updated = now
-	d.seconds[priority] += service
+	r := d.routes[n.Route]
+	if r == nil {
+		r = &routeDemand{}
+		d.routes[n.Route] = r
+	}
+	r.priority, r.target = n.Priority, n.Target.Seconds()
+	r.seconds += service
+	r.count++
 }
 
-// reserve returns the share of slots that requests of a priority leave free for
-// more urgent ones.
-func (d *demand) reserve(priority int) float64 {
-	urgent, all := 0.0, 0.0
-	for k, s := range d.seconds {
-		all += s
-		if k < priority {
-			urgent += s
+// limit returns the number of requests at a server from which on requests of a
+// priority have to wait elsewhere: its slots, and a queue that is short enough
+// for all routes of the same or higher urgency, less what more urgent requests
+// need. hosts send like this one to capacity slots.
+func (d *demand) limit(priority, hosts, slots, capacity int) float64 {
+	urgent, seconds, count, slack := 0.0, 0.0, 0.0, math.Inf(1)
+	for _, r := range d.routes {
+		seconds += r.seconds
+		count += r.count
+		if r.priority < priority {
+			urgent += r.seconds
+		}
+		if r.priority <= priority && r.count > count/100 {
+			slack = min(slack, max(r.target-r.seconds/r.count, 0))
 		}
 	}
-	if all == 0 || urgent < reserveLeast*all {
-		return 0
+	if count == 0 || capacity == 0 {
+		return float64(slots)
+	}
+	queue := min(slackShare*slack/(seconds/count), queueMost)
+	running := urgent / demandMean * float64(hosts) * float64(slots) / float64(capacity)
+	reserve := 0.0
+	if running > reserveLeast {
+		reserve = min(running+reserveDeviations*math.Sqrt(running), reserveMost*float64(slots))
 	}
-	return min(reserveFactor*urgent/all, reserveMost)
+	return max(float64(slots)*(1+queue)-reserve, 1)
 }
--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -33,16 +33,9 @@
 	// moveMargin is the share of the service time by which another server has
 	// to be better than the key's first one.
 	moveMargin = 0.15
-	// queueShare bounds the requests that wait at a server, as a share of its
-	// slots.
-	queueShare = 0.6
-	// reserveFactor and reserveMost bound the share of a server's slots that
-	// requests leave free for more urgent ones: a multiple of the share of slot
-	// time that those take, because they come in bursts.
-	reserveFactor = 1.5
-	reserveMost   = 0.3
-	// reserveLeast is the share below which nothing is left free.
-	reserveLeast = 0.03
+	// roomPressure is the share of taken slots below which a pool has room for
+	// requests that take longer at a server that does not know their object.
+	roomPressure = 0.6
 )
 
 // Need is a request to place.
@@ -113,13 +106,18 @@
 	peers    map[string]map[string]int
 	share    Share
 	// remote is the share of taken slots that servers of other regions told.
-	remote   float64
-	demand   demand
+	remote float64
+	demand demand
+	own    int // slots of the own region
+	// room is set while few slots of the own region are taken.
+	room     bool
 	coldRate float64
 	// OwnsCold tells whether this host sends to a cold server.
 	OwnsCold func(s fleet.Server) bool
 	// Evacuated tells whether a failure domain gets no requests.
 	Evacuated func(domain string) bool
+	// Hosts returns the number of entry hosts in the region.
+	Hosts func() int
 }
 
 // New returns a pool without servers for a host in region.
@@ -127,6 +125,7 @@
 	return &Pool{
 		region: region, servers: map[string]*server{}, services: map[string]*[classes]estimate{}, peers: map[string]map[string]int{},
 		OwnsCold: func(fleet.Server) bool { return true }, Evacuated: func(string) bool { return false },
+		Hosts: func() int { return 1 },
 	}
 }
 
@@ -174,7 +173,9 @@
 		p.order = append(p.order, s)
 	}
 	p.sumPeers()
-	p.share.Start(p.capacity())
+	own, all, regions := p.capacity()
+	p.own = own
+	p.share.Start(own, all, regions)
 }
 
 // capacity returns the slots of the own region, of all, and the number of
@@ -250,7 +251,7 @@
 	case remote == nil:
 		return p.decide(n, local, false)
 	}
-	away := p.share.Away(n.Key)
+	away := p.share.Away(n.Route, n.Key)
 	home, other := local, remote
 	if away {
 		home, other = remote, local
@@ -269,9 +270,12 @@
 // Request counts a new request of the pool and moves the share of keys that
 // belong to other regions.
 func (p *Pool) Request(now time.Time, n Need) {
-	p.demand.add(now, n.Priority, p.estimates(n)[classFirst])
+	service := p.estimates(n)[classFirst]
+	p.demand.add(now, n, service)
+	p.share.Request(now, n, service)
 	local, known := p.pressure(now)
 	p.share.Update(now, local, p.remote, known)
+	p.room = known && local < roomPressure
 }
 
 func (p *Pool) decide(n Need, c *candidate, remote bool) Choice {
@@ -279,14 +283,10 @@
 		Server: c.Server, Remote: remote, Expected: seconds(c.wait + c.service), Load: c.load,
 		class: c.class, service: seconds(c.plain),
 	}
-	limit := float64(c.Slots) * (1 + queueShare)
-	if reserve := p.demand.reserve(n.Priority); reserve > 0 {
-		limit = max(float64(c.Slots)*(1-reserve), 1)
-	}
 	switch {
 	case choice.Expected > n.Left:
 		choice.Verdict = TooLate
-	case c.load >= limit:
+	case c.load >= p.limit(n, c):
 		choice.Verdict = Wait
 	}
 	return choice
@@ -296,7 +296,7 @@
 func (p *Pool) best(now time.Time, n Need, local bool) *candidate {
 	service := p.estimates(n)
 	first, second := p.preferred(n, local)
-	var best *candidate
+	var best, open *candidate
 	for _, s := range p.order {
 		if (s.region == p.region) != local || !p.usable(now, s, n) {
 			continue
@@ -328,10 +328,25 @@
 		if best == nil || c.cost < best.cost {
 			best = &c
 		}
+		// A server that does not know the object takes more slot time, which the
+		// pool can spare only while it has room.
+		known := c.class != classOther || p.room
+		if known && (open == nil || c.cost < open.cost) && c.load < p.limit(n, &c) {
+			open = &c
+		}
+	}
+	if open != nil {
+		return open
 	}
 	return best
 }
 
+// limit returns the number of requests at a server from which on a request has
+// to wait.
+func (p *Pool) limit(n Need, c *candidate) float64 {
+	return p.demand.limit(n.Priority, p.Hosts(), c.Slots, p.own)
+}
+
 // preferred returns the first two servers of the key, whether usable or not at
 // this moment, so that a short failure does not move other keys.
 func (p *Pool) preferred(n Need, local bool) (first, second *server) {
--- a/pkg/core/placing/share.go
+++ b/pkg/core/placing/share.go
@@ -1,7 +1,9 @@
 package placing
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
@@ -9,7 +11,7 @@
 
 // Settings of Share.
 const (
-	// shareRate is the largest change of the share per second. Two adjacent
+	// shareRate is the largest change of a fraction per second. Two adjacent
 	// windows of 2 s then differ by at most 0.08 in the mean, which leaves room
 	// for chance and for the overflow below the platform's cap of 0.15.
 	shareRate = 0.04
@@ -26,17 +28,34 @@
 	// usualLoad is the share of all slots that is taken on an ordinary day; it
 	// sets the share with which a process starts.
 	usualLoad = 0.6
+	// firstTime is how long after its first request a route takes its fraction
+	// at once: there is no earlier traffic to shift.
+	firstTime = time.Second
+	// shareHalf is the time in which past requests lose half of their weight.
+	shareHalf = 8 * time.Second
 	// awayKey keeps the order of keys in Away apart from that of servers.
 	awayKey = "away"
 )
 
-// Share is the fraction of a pool's keys that belong to other regions. It moves
-// slowly, so that a wave of load does not throw the work between regions.
+// Share is the fraction of a pool's slot time that runs in other regions. It
+// moves slowly, so that a wave of load does not throw the work between regions.
+// Routes with much time for their answer go first, because the way there
+// matters least to them.
 type Share struct {
 	fraction float64
 	started  bool
 	updated  time.Time
 	overflow float64
+	routes   map[string]*routeShare
+}
+
+// routeShare is the fraction of a route's keys that belong to other regions.
+type routeShare struct {
+	name     string
+	target   time.Duration
+	first    time.Time
+	seconds  float64 // recent slot time
+	fraction float64
 }
 
 // Start sets the first value from the slots of the own region and of all
@@ -50,6 +69,21 @@
 	s.fraction = min(max(1-pressureHigh*float64(own)/demand, 0), shareMost)
 }
 
+// Request counts a request that takes service seconds.
+func (s *Share) Request(now time.Time, n Need, service float64) {
+	r := s.routes[n.Route]
+	if r == nil {
+		if s.routes == nil {
+			s.routes = map[string]*routeShare{}
+		}
+		r = &routeShare{name: n.Route, first: now}
+		s.routes[n.Route] = r
+	}
+	r.target = n.Target
+	r.seconds += service
+	s.overflow = min(s.overflow+overflowShare, overflowBurst)
+}
+
 // Update moves the fraction by the shares of taken slots of the own region and
 // of the others. known is false if the own region has no slots.
 func (s *Share) Update(now time.Time, local, remote float64, known bool) {
@@ -58,7 +92,6 @@
 		elapsed = 0
 	}
 	s.updated = now
-	s.overflow = min(s.overflow+overflowShare, overflowBurst)
 	step := shareRate * elapsed
 	switch {
 	case !known:
@@ -67,12 +100,43 @@
 	case local < pressureLow || remote > local+pressureGap:
 		s.fraction = max(s.fraction-step, 0)
 	}
+	s.spread(now, elapsed)
+}
+
+// spread gives the fraction to the routes.
+func (s *Share) spread(now time.Time, elapsed float64) {
+	keep := math.Exp2(-elapsed / shareHalf.Seconds())
+	order := make([]*routeShare, 0, len(s.routes))
+	total := 0.0
+	for name, r := range s.routes {
+		if r.seconds *= keep; r.seconds < 1e-6 {
+			delete(s.routes, name)
+			continue
+		}
+		total += r.seconds
+		order = append(order, r)
+	}
+	slices.SortFunc(order, func(a, b *routeShare) int {
+		return cmp.Or(cmp.Compare(b.target, a.target), cmp.Compare(a.name, b.name))
+	})
+	left := s.fraction * total
+	for _, r := range order {
+		want := min(left/r.seconds, shareMost)
+		left -= want * r.seconds
+		if now.Sub(r.first) < firstTime {
+			r.fraction = want
+			continue
+		}
+		step := shareRate * elapsed
+		r.fraction = min(max(want, r.fraction-step), r.fraction+step)
+	}
 }
 
-// Away reports whether a key belongs to other regions. As the fraction grows,
-// keys join those that belong there already.
-func (s *Share) Away(key string) bool {
-	return float64(rendezvous.Weight(key, awayKey))/math.MaxUint64 < s.fraction
+// Away reports whether a key of a route belongs to other regions. As the
+// fraction grows, keys join those that belong there already.
+func (s *Share) Away(route, key string) bool {
+	r := s.routes[route]
+	return r != nil && float64(rendezvous.Weight(key, awayKey))/math.MaxUint64 < r.fraction
 }
 
 // Overflow takes one request that may leave its key's region, if there is one.
@@ -84,5 +148,5 @@
 	return true
 }
 
-// Fraction returns the fraction of keys that belong to other regions.
+// Fraction returns the fraction of the slot time that runs in other regions.
 func (s *Share) Fraction() float64 { return s.fraction }
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -65,6 +66,10 @@
 type peers struct {
 	self fleet.EntryHost
 
+	// region counts the live hosts of the region; it is kept because every
+	// choice of a server asks for it.
+	region atomic.Int32
+
 	mu    sync.RWMutex
 	hosts map[string]*peerState
 }
@@ -144,6 +149,10 @@
 	return out
 }
 
+// regionCount returns the number of live hosts of the own region, this one
+// included.
+func (p *peers) regionCount() int { return int(p.region.Load()) + 1 }
+
 // owns reports whether this host is the one that sends to a cold server: one
 // host of the server's failure domain, or of its region if the domain has none.
 func (p *peers) owns(server, domain string) bool {
@@ -207,6 +216,7 @@
 	h.tomb.Go(func() error { return h.hearBeacons(udp) })
 	h.every(beaconEvery, func(now time.Time) {
 		h.sendBeacons(udp, h.peers.targets(now, true))
+		h.peers.region.Store(int32(len(h.peers.live(now))))
 		for _, name := range h.peers.silent(now, beaconEvery) {
 			h.log.peerLost(name)
 			h.eachPool(func(p *pool) { p.peerLoad(name, nil) })
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -50,6 +50,7 @@
 	p.repeats = retry.NewShare(b.RetryRatio, float64(b.RetryExtra))
 	p.place.OwnsCold = func(s fleet.Server) bool { return h.peers.owns(s.ID, s.Domain) }
 	p.place.Evacuated = h.isEvacuated
+	p.place.Hosts = h.peers.regionCount
 	return p
 }
 
