--- a/pkg/core/placing/demand.go
+++ b/pkg/core/placing/demand.go
@@ -91,3 +91,17 @@
 	}
 	return max(float64(slots)*(1+queue)-reserve, 1)
 }
+
+// service returns the mean service time of the recent requests in seconds, or 0
+// without any.
+func (d *demand) service() float64 {
+	seconds, count := 0.0, 0.0
+	for _, r := range d.routes {
+		seconds += r.seconds
+		count += r.count
+	}
+	if count == 0 {
+		return 0
+	}
+	return seconds / count
+}
--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -14,15 +14,6 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 )
 
-// Classes of sends with a service time of their own.
-const (
-	classRecent = iota // this host sent the key to the server lately
-	classFirst         // the first server of the key
-	classSecond
-	classOther
-	classes
-)
-
 // Settings of the choice.
 const (
 	// RemoteTime is the expected time that a server of another region adds,
@@ -33,6 +24,12 @@
 	// moveMargin is the share of the service time by which another server has
 	// to be better than the key's first one.
 	moveMargin = 0.15
+	// exploreShare is the part of the region's slot time that may be lost by
+	// running requests at servers that do not know their object while the pool
+	// has no room: the objects in demand have to become known at more servers.
+	exploreShare = 0.05
+	// exploreBurst is how many seconds of that share add up.
+	exploreBurst = 1.0
 	// roomPressure is the share of taken slots below which a pool has room for
 	// requests that take longer at a server that does not know their object.
 	roomPressure = 0.6
@@ -74,8 +71,10 @@
 	// Expected is the time to the answer.
 	Expected time.Duration
 	Load     float64 // estimated requests at the server
-	class    int
-	service  time.Duration
+	// Class and Service are what the choice assumed; Finished compares them with
+	// the answer.
+	Class   Class
+	Service time.Duration
 }
 
 // Outcome is how a sent request ended.
@@ -103,12 +102,19 @@
 	servers  map[string]*server
 	order    []*server // the usable candidates, by region
 	services map[string]*[classes]estimate
+	means    map[string]*estimate // over all classes, by route
 	peers    map[string]map[string]int
 	share    Share
 	// remote is the share of taken slots that servers of other regions told.
 	remote float64
-	demand demand
-	own    int // slots of the own region
+	// regions are the reports of the other regions.
+	regions map[string]regionLoad
+	demand  demand
+	own     int // slots of the own region
+	// explore is the slot time in seconds that may be lost by running requests
+	// where their object is unknown.
+	explore   float64
+	exploreAt time.Time
 	// room is set while few slots of the own region are taken.
 	room     bool
 	coldRate float64
@@ -118,12 +124,14 @@
 	Evacuated func(domain string) bool
 	// Hosts returns the number of entry hosts in the region.
 	Hosts func() int
+	// Waiting is the number of requests that wait for a slot.
+	Waiting int
 }
 
 // New returns a pool without servers for a host in region.
 func New(region string) *Pool {
 	return &Pool{
-		region: region, servers: map[string]*server{}, services: map[string]*[classes]estimate{}, peers: map[string]map[string]int{},
+		region: region, servers: map[string]*server{}, services: map[string]*[classes]estimate{}, means: map[string]*estimate{}, peers: map[string]map[string]int{}, regions: map[string]regionLoad{},
 		OwnsCold: func(fleet.Server) bool { return true }, Evacuated: func(string) bool { return false },
 		Hosts: func() int { return 1 },
 	}
@@ -149,11 +157,8 @@
 		seen[f.ID] = true
 		s := p.servers[f.ID]
 		if s == nil || s.Born != f.Born || s.Address != f.Address {
-			running := 0
-			if s != nil {
-				running = s.running
-			}
-			s = &server{running: running, slow: 1}
+			// Requests to the process before it have ended with it.
+			s = &server{slow: 1}
 			p.servers[f.ID] = s
 		}
 		if s.ColdUntil.After(f.ColdUntil) {
@@ -215,23 +220,88 @@
 	}
 }
 
-// Loads returns the requests in progress of this host, by server.
-func (p *Pool) Loads() map[string]int {
-	out := map[string]int{}
-	for id, s := range p.servers {
-		if s.running > 0 {
-			out[id] = s.running
+// Server returns the server of that name if it takes requests.
+func (p *Pool) Server(now time.Time, id string) (fleet.Server, bool) {
+	s := p.servers[id]
+	if s == nil || s.gone || s.Draining || p.Evacuated(s.Domain) || now.Before(s.restUntil) {
+		return fleet.Server{}, false
+	}
+	return s.Server, true
+}
+
+// Report is what the hosts of one region tell those of another about a pool:
+// the requests at their own servers, and those that they sent to the other's.
+type Report struct {
+	Loads map[string]int `cbor:"1,keyasint,omitempty"`
+	Sent  map[string]int `cbor:"2,keyasint,omitempty"`
+	// Pressure is the share of taken slots of the region, and Slots their number.
+	Pressure float64 `cbor:"3,keyasint"`
+	Slots    int     `cbor:"4,keyasint"`
+}
+
+// Report returns what the own region tells the others.
+func (p *Pool) Report(now time.Time) Report {
+	out := Report{Loads: map[string]int{}, Sent: map[string]int{}}
+	for _, s := range p.order {
+		if s.region == p.region {
+			out.Loads[s.ID] = int(s.load(now) + 0.5)
+			if p.usable(now, s, Need{}) {
+				out.Slots += s.Slots
+			}
+		} else if n := s.running + s.peers; n > 0 {
+			out.Sent[s.ID] = n
 		}
 	}
+	out.Pressure, _ = p.pressure(now)
 	return out
 }
 
+// Told takes the report of another region.
+func (p *Pool) Told(now time.Time, region string, r Report) {
+	for _, s := range p.order {
+		switch s.region {
+		case p.region:
+			if s.others == nil {
+				s.others = map[string]int{}
+			}
+			s.others[region], s.othersAt = r.Sent[s.ID], now
+		case region:
+			if n, ok := r.Loads[s.ID]; ok {
+				s.told, s.toldAt, s.toldRunning = n, now, s.running
+			}
+		}
+	}
+	p.regions[region] = regionLoad{pressure: r.Pressure, slots: r.Slots, at: now}
+}
+
+// regionLoad is what another region told.
+type regionLoad struct {
+	pressure float64
+	slots    int
+	at       time.Time
+}
+
+// remotePressure is the share of taken slots of the other regions.
+func (p *Pool) remotePressure(now time.Time) float64 {
+	load, slots := 0.0, 0.0
+	for _, r := range p.regions {
+		if now.Sub(r.at) < toldLife {
+			load += r.pressure * float64(r.slots)
+			slots += float64(r.slots)
+		}
+	}
+	if slots == 0 {
+		return p.remote
+	}
+	return load / slots
+}
+
 // candidate is a server under consideration.
 type candidate struct {
 	*server
 	load, cost float64
 	wait       float64
-	class      int
+	class      Class
 	// plain is the expected service time of a server of usual speed, service
 	// that of this one with the way there.
 	plain, service float64
@@ -270,18 +340,19 @@
 // Request counts a new request of the pool and moves the share of keys that
 // belong to other regions.
 func (p *Pool) Request(now time.Time, n Need) {
-	service := p.estimates(n)[classFirst]
+	service := p.expectedService(n)
+	p.refillExplore(now)
 	p.demand.add(now, n, service)
 	p.share.Request(now, n, service)
 	local, known := p.pressure(now)
-	p.share.Update(now, local, p.remote, known)
+	p.share.Update(now, local, p.remotePressure(now), known)
 	p.room = known && local < roomPressure
 }
 
 func (p *Pool) decide(n Need, c *candidate, remote bool) Choice {
 	choice := Choice{
 		Server: c.Server, Remote: remote, Expected: seconds(c.wait + c.service), Load: c.load,
-		class: c.class, service: seconds(c.plain),
+		Class: c.class, Service: seconds(c.plain),
 	}
 	switch {
 	case choice.Expected > n.Left:
@@ -295,32 +366,25 @@
 // best returns the cheapest usable server inside or outside the own region.
 func (p *Pool) best(now time.Time, n Need, local bool) *candidate {
 	service := p.estimates(n)
-	first, second := p.preferred(n, local)
-	var best, open *candidate
+	first := p.preferred(n, local)
+	key := n.Route + "\x00" + n.Key
+	var best, open, fresh *candidate
 	for _, s := range p.order {
 		if (s.region == p.region) != local || !p.usable(now, s, n) {
 			continue
 		}
-		c := candidate{server: s, load: s.load(now), class: classOther}
-		switch {
-		case s.keys.has(n.Route + "\x00" + n.Key):
-			c.class = classRecent
-		case s == first:
-			c.class = classFirst
-		case s == second:
-			c.class = classSecond
-		}
+		c := candidate{server: s, load: s.load(now), class: s.keys.class(key)}
 		c.plain = service[c.class]
 		c.service = c.plain * s.slow
 		if over := c.load - float64(s.Slots) + 1; over > 0 {
-			c.wait = over / float64(s.Slots) * service[classFirst] * s.slow
+			c.wait = over / float64(s.Slots) * p.usual(service) * s.slow
 		}
 		c.cost = c.wait + c.service + s.failureRatio(now)*failureCost*n.Left.Seconds()
 		if s != first {
-			c.cost += moveMargin * service[classFirst]
+			c.cost += moveMargin * c.plain
 		}
 		// Between equal servers the one with fewer requests is better.
-		c.cost += 0.1 * service[classFirst] * c.load / float64(s.Slots)
+		c.cost += 0.1 * c.plain * c.load / float64(s.Slots)
 		if !local {
 			c.service += RemoteTime.Seconds()
 			c.cost += RemoteTime.Seconds()
@@ -328,43 +392,55 @@
 		if best == nil || c.cost < best.cost {
 			best = &c
 		}
-		// A server that does not know the object takes more slot time, which the
-		// pool can spare only while it has room.
-		known := c.class != classOther || p.room
-		if known && (open == nil || c.cost < open.cost) && c.load < p.limit(n, &c) {
+		if c.load >= p.limit(n, &c) {
+			continue
+		}
+		if c.class == unknown && !p.room {
+			if fresh == nil || c.cost < fresh.cost {
+				fresh = &c
+			}
+		} else if open == nil || c.cost < open.cost {
 			open = &c
 		}
 	}
-	if open != nil {
+	switch {
+	case open != nil:
 		return open
+	case fresh != nil && p.explore >= fresh.plain-service[0]:
+		return fresh
 	}
 	return best
 }
 
+// usual is the service time of the pool's requests in seconds, or that of the
+// request's route until it is known.
+func (p *Pool) usual(service [classes]float64) float64 {
+	if mean := p.demand.service(); mean > 0 {
+		return mean
+	}
+	return service[0]
+}
+
 // limit returns the number of requests at a server from which on a request has
 // to wait.
 func (p *Pool) limit(n Need, c *candidate) float64 {
 	return p.demand.limit(n.Priority, p.Hosts(), c.Slots, p.own)
 }
 
-// preferred returns the first two servers of the key, whether usable or not at
-// this moment, so that a short failure does not move other keys.
-func (p *Pool) preferred(n Need, local bool) (first, second *server) {
-	var w1, w2 uint64
+// preferred returns the first server of the key, whether usable or not at this
+// moment, so that a short failure does not move other keys.
+func (p *Pool) preferred(n Need, local bool) *server {
+	var first *server
+	var most uint64
 	for _, s := range p.order {
 		if (s.region == p.region) != local || s.Draining {
 			continue
 		}
-		w := s.weight(n.Key)
-		switch {
-		case first == nil || w > w1:
-			second, w2 = first, w1
-			first, w1 = s, w
-		case second == nil || w > w2:
-			second, w2 = s, w
+		if w := s.weight(n.Key); first == nil || w > most {
+			first, most = s, w
 		}
 	}
-	return first, second
+	return first
 }
 
 func (p *Pool) usable(now time.Time, s *server, n Need) bool {
@@ -393,23 +469,38 @@
 // estimates returns the expected service times of the classes in seconds.
 func (p *Pool) estimates(n Need) [classes]float64 {
 	var out [classes]float64
-	// Until answers tell more, a known object is expected to meet the target.
-	guess := n.Target.Seconds()
-	prior := [classes]float64{0.5 * guess, 0.6 * guess, 0.8 * guess, 1.2 * guess}
 	known := p.services[n.Route]
 	for i := range out {
-		out[i] = prior[i]
+		prior := classShares[i] * n.Target.Seconds()
+		out[i] = prior
 		if known != nil && known[i].n > 0 {
 			w := min(float64(known[i].n)/8, 1)
-			out[i] = w*known[i].mean + (1-w)*prior[i]
+			out[i] = w*known[i].mean + (1-w)*prior
 		}
 	}
 	return out
 }
 
-// pressure is the share of the usable slots of the own region that are taken.
+func (p *Pool) refillExplore(now time.Time) {
+	rate := exploreShare * float64(p.own)
+	if !p.exploreAt.IsZero() {
+		p.explore = min(p.explore+rate*now.Sub(p.exploreAt).Seconds(), rate*exploreBurst)
+	}
+	p.exploreAt = now
+}
+
+// expectedService is the recent mean service time of a route in seconds.
+func (p *Pool) expectedService(n Need) float64 {
+	if e := p.means[n.Route]; e != nil && e.n > 0 {
+		return e.mean
+	}
+	return classShares[0] * n.Target.Seconds()
+}
+
+// pressure is the share of the usable slots of the own region that are taken or
+// waited for.
 func (p *Pool) pressure(now time.Time) (float64, bool) {
-	load, slots := 0.0, 0
+	load, slots := float64(p.Waiting), 0
 	for _, s := range p.order {
 		if s.region == p.region && p.usable(now, s, Need{}) && !s.isCold(now) {
 			load += min(s.load(now), float64(2*s.Slots))
@@ -429,6 +520,9 @@
 		if s.isCold(now) {
 			s.cold.take()
 		}
+		if c.Class == unknown && !p.room {
+			p.explore -= c.Service.Seconds() - p.estimates(n)[0]
+		}
 		s.keys.add(now, n.Route+"\x00"+n.Key)
 	}
 }
@@ -437,8 +531,8 @@
 // from the send to the answer.
 func (p *Pool) Finished(now time.Time, c Choice, n Need, o Outcome, took time.Duration) {
 	s := p.servers[c.Server.ID]
-	if s == nil {
-		return
+	if s == nil || s.Born != c.Server.Born || s.Address != c.Server.Address {
+		return // sent to an earlier process of that name
 	}
 	s.running = max(s.running-1, 0)
 	if s.gone && s.running == 0 {
@@ -476,10 +570,14 @@
 		p.services[n.Route] = known
 	}
 	if s.slow < 2 {
-		known[c.class].add(took)
+		known[c.Class].add(took)
+		if p.means[n.Route] == nil {
+			p.means[n.Route] = &estimate{}
+		}
+		p.means[n.Route].add(took)
 	}
-	if c.service > 0 {
-		ratio := float64(took) / float64(c.service)
+	if c.Service > 0 {
+		ratio := float64(took) / float64(c.Service)
 		s.slow += smoothing * (ratio - s.slow)
 		s.slow = min(max(s.slow, slowMin), slowMost)
 	}
@@ -516,3 +614,40 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// State summarizes a pool for logs and dumps.
+type State struct {
+	Servers int `json:"servers"`
+	// Usable is the number of servers of the own region that take requests, Slots
+	// that of their slots, and Load that of the requests at them.
+	Usable int     `json:"usable"`
+	Slots  int     `json:"slots"`
+	Load   float64 `json:"load"`
+	// Pressure and Remote are the shares of taken slots of the own region and of
+	// the others.
+	Pressure float64 `json:"pressure"`
+	Remote   float64 `json:"remote"`
+	// Away is the share of the slot time that belongs to other regions.
+	Away float64 `json:"away"`
+	// Limits are the requests that one server takes, by priority.
+	Limits map[int]float64 `json:"limits"`
+}
+
+// State returns the state of the pool.
+func (p *Pool) State(now time.Time) State {
+	out := State{Servers: len(p.order), Away: p.share.Fraction(), Remote: p.remotePressure(now), Limits: map[int]float64{}}
+	slots := 0
+	for _, s := range p.order {
+		slots = max(slots, s.Slots)
+		if s.region == p.region && p.usable(now, s, Need{}) {
+			out.Usable++
+			out.Slots += s.Slots
+			out.Load += s.load(now)
+		}
+	}
+	out.Pressure, _ = p.pressure(now)
+	for _, r := range p.demand.routes {
+		out.Limits[r.priority] = p.demand.limit(r.priority, p.Hosts(), slots, p.own)
+	}
+	return out
+}
--- a/pkg/core/placing/server.go
+++ b/pkg/core/placing/server.go
@@ -12,6 +12,8 @@
 const (
 	// reportLife is how long a load that the server reported counts.
 	reportLife = 400 * time.Millisecond
+	// toldLife is how long the report of another region counts.
+	toldLife = time.Second
 	// failureHalf is the time in which a failure ratio decays by half without
 	// new answers.
 	failureHalf = 3 * time.Second
@@ -24,8 +26,6 @@
 	// after a connection failed.
 	restFirst = 250 * time.Millisecond
 	restMost  = 4 * time.Second
-	// keysPerServer bounds the remembered keys; servers remember fewer.
-	keysPerServer = 64
 )
 
 // server is a backend server as this host sees it.
@@ -37,6 +37,13 @@
 	running int
 	// peers are the requests in progress of the other hosts of the region.
 	peers int
+	// others are the requests that other regions told they sent here.
+	others   map[string]int
+	othersAt time.Time
+	// told is the load that the server's region told, while this region had
+	// toldRunning requests there.
+	told, toldRunning int
+	toldAt            time.Time
 	// reported is the load that the server told with its last answer.
 	reported   int
 	reportedAt time.Time
@@ -55,6 +62,14 @@
 // load returns the estimate of the requests at the server.
 func (s *server) load(now time.Time) float64 {
 	known := float64(s.running + s.peers)
+	if now.Sub(s.othersAt) < toldLife {
+		for _, n := range s.others {
+			known += float64(n)
+		}
+	}
+	if now.Sub(s.toldAt) < toldLife {
+		known = max(known, float64(s.told+max(s.running-s.toldRunning, 0)))
+	}
 	if age := now.Sub(s.reportedAt); age < reportLife {
 		left := 1 - float64(age)/float64(reportLife)
 		known = max(known, float64(s.reported)*left)
@@ -83,32 +98,6 @@
 
 func (s *server) weight(key string) uint64 { return rendezvous.Weight(key, s.ID) }
 
-// recent remembers when keys were last sent.
-type recent struct {
-	at map[string]time.Time
-}
-
-func (r *recent) has(key string) bool {
-	_, ok := r.at[key]
-	return ok
-}
-
-func (r *recent) add(now time.Time, key string) {
-	if r.at == nil {
-		r.at = map[string]time.Time{}
-	}
-	if _, ok := r.at[key]; !ok && len(r.at) >= keysPerServer {
-		oldest, oldestAt := "", now
-		for k, t := range r.at {
-			if !t.After(oldestAt) {
-				oldest, oldestAt = k, t
-			}
-		}
-		delete(r.at, oldest)
-	}
-	r.at[key] = now
-}
-
 // bucket admits a bounded rate with a burst of half a second's worth.
 type bucket struct {
 	tokens float64
--- a/pkg/core/placing/share.go
+++ b/pkg/core/placing/share.go
@@ -18,9 +18,10 @@
 	// pressureHigh and pressureLow are the shares of taken slots above which
 	// keys move to other regions, and below which they come back.
 	pressureHigh, pressureLow = 0.75, 0.5
-	// pressureGap is how much fuller than the others a region has to be.
-	pressureGap = 0.1
-	shareMost   = 0.8
+	// pressureGap is how much fuller than the others a region has to be for keys
+	// to move away, and pressureBack below which they come back.
+	pressureGap, pressureBack = 0.2, 0.0
+	shareMost                 = 0.8
 	// overflowShare is the part of the requests that may leave their key's
 	// region because it is full at the moment.
 	overflowShare = 0.04
@@ -43,7 +44,6 @@
 // matters least to them.
 type Share struct {
 	fraction float64
-	started  bool
 	updated  time.Time
 	overflow float64
 	routes   map[string]*routeShare
@@ -59,12 +59,12 @@
 }
 
 // Start sets the first value from the slots of the own region and of all
-// regions, as if each region had the same demand.
+// regions, as if each region had the same demand. It has no effect after the
+// first request.
 func (s *Share) Start(own, all, regions int) {
-	if s.started || all == 0 {
+	if !s.updated.IsZero() || all == 0 {
 		return
 	}
-	s.started = true
 	demand := usualLoad * float64(all) / float64(regions)
 	s.fraction = min(max(1-pressureHigh*float64(own)/demand, 0), shareMost)
 }
@@ -97,7 +97,7 @@
 	case !known:
 	case local > pressureHigh && local > remote+pressureGap:
 		s.fraction = min(s.fraction+step, shareMost)
-	case local < pressureLow || remote > local+pressureGap:
+	case local < pressureLow || local < remote+pressureBack:
 		s.fraction = max(s.fraction-step, 0)
 	}
 	s.spread(now, elapsed)
--- a/pkg/core/rendezvous/rendezvous.go
+++ b/pkg/core/rendezvous/rendezvous.go
@@ -4,6 +4,7 @@
 package rendezvous
 
 import (
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,3 +56,28 @@
 	}
 	return out
 }
+
+// Choice is a host with a share of the keys in proportion to Capacity.
+type Choice struct {
+	Host     string
+	Capacity float64
+}
+
+// PickWeighted returns the host for key such that each host gets keys in
+// proportion to its capacity, or "" if there are no hosts.
+func PickWeighted(key string, hosts []Choice) string {
+	best, bestScore := "", 0.0
+	for _, h := range hosts {
+		// The smallest of exponentially distributed times is that of a host with
+		// the probability of its share.
+		u := (float64(Weight(key, h.Host)) + 1) / (math.MaxUint64 + 2)
+		score := -math.Log(u) / max(h.Capacity, leastCapacity)
+		if best == "" || score < bestScore || (score == bestScore && h.Host < best) {
+			best, bestScore = h.Host, score
+		}
+	}
+	return best
+}
+
+// leastCapacity keeps a host without capacity from dividing by zero.
+const leastCapacity = 1e-6
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -127,6 +127,8 @@
 	Caller  string `cbor:"4,keyasint" json:"caller"`
 	Peer    string `cbor:"5,keyasint" json:"peer"`
 	Control string `cbor:"7,keyasint" json:"control"`
+	// Capacity is the processor time of the host in cores.
+	Capacity float64 `cbor:"8,keyasint" json:"capacity"`
 	// Started is the start of the process in milliseconds since 1970.
 	Started int64 `cbor:"6,keyasint" json:"started"`
 }
--- a/pkg/steer/control.go
+++ b/pkg/steer/control.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uptrace/bunrouter"
@@ -39,18 +38,19 @@
 	Servers      map[string]int    `json:"servers"`
 	Loads        map[string]int    `json:"loads"`
 	Evacuated    map[string]bool   `json:"evacuated"`
+	Dispatchers  map[string]string `json:"dispatchers"`
 }
 
 // Dump returns the state.
 func (h *Host) Dump() Dump {
 	d := Dump{
-		Host: h.self, Leaving: h.leaving.Load(), Held: h.held.Load(), Peers: h.peers.live(time.Now()),
+		Host: h.self, Leaving: h.leaving.Load(), Held: h.held.Load(), Peers: h.view.Load().hosts, Dispatchers: h.view.Load().dispatchers,
 		Servers: map[string]int{}, Loads: map[string]int{}, Evacuated: *h.evacuated.Load(),
 	}
 	if t := h.table.Load(); t != nil {
 		d.TableVersion = t.Version
 	}
-	h.eachPool(func(p *pool) { p.loads(d.Loads) })
+	h.eachPool(func(p *pool) { p.loads("", d.Loads) })
 	h.registryMu.Lock()
 	defer h.registryMu.Unlock()
 	for pool, list := range h.registry.Servers() {
--- /dev/null
+++ b/pkg/steer/dispatch.go
@@ -0,0 +1,372 @@
+package steer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+)
+
+// Times of the exchange with the dispatcher of a pool.
+const (
+	// askTimeout is how long the first answer of a dispatcher is awaited before
+	// the ask is repeated; hosts of a region are about 1 ms apart.
+	askTimeout = 25 * time.Millisecond
+	askTries   = 2
+	// grantSlack is how long after the hold of a queued request its grant is
+	// awaited.
+	grantSlack = 60 * time.Millisecond
+	// tripTime is how long a dispatcher that did not answer is left out.
+	tripTime = 300 * time.Millisecond
+	// doneRepeats is how many times the end of a request is told.
+	doneRepeats = 3
+	// reportEvery is the interval of the reports to other regions.
+	reportEvery = 200 * time.Millisecond
+	// reportHosts is the number of hosts of another region that get a report;
+	// which of them dispatches there is not known here.
+	reportHosts = 2
+	expireEvery = 500 * time.Millisecond
+	// stateEvery is the interval of the log lines about dispatched pools.
+	stateEvery = 2 * time.Second
+)
+
+// view is the list of live hosts, and the dispatchers that follow from it.
+type view struct {
+	// hosts are the live hosts of the region that take callers, without this one.
+	hosts []fleet.EntryHost
+	// region is the number of hosts of the region, this one included.
+	region int
+	// dispatchers are the hosts that dispatch each pool.
+	dispatchers map[string]string
+}
+
+// updateView chooses the dispatchers again.
+func (h *Host) updateView(now time.Time) {
+	v := &view{hosts: h.peers.live(now), dispatchers: map[string]string{}}
+	v.region = len(v.hosts) + 1
+	choices := make([]rendezvous.Choice, 0, v.region)
+	if h.ready() {
+		choices = append(choices, rendezvous.Choice{Host: h.self.Name, Capacity: h.self.Capacity})
+	}
+	for _, host := range v.hosts {
+		choices = append(choices, rendezvous.Choice{Host: host.Name, Capacity: host.Capacity})
+	}
+	old := h.view.Load()
+	h.eachPool(func(p *pool) {
+		d := rendezvous.PickWeighted(p.name, choices)
+		v.dispatchers[p.name] = d
+		if before := old.dispatchers[p.name]; before != d {
+			h.log.dispatcher(p.name, before, d, v.region)
+		}
+	})
+	h.view.Store(v)
+}
+
+// dispatches reports whether this host dispatches the pool.
+func (h *Host) dispatches(pool string) bool {
+	return h.view.Load().dispatchers[pool] == h.self.Name
+}
+
+// dispatch holds the open asks of this host and the latest ends.
+type dispatch struct {
+	next atomic.Uint64
+
+	mu      sync.Mutex
+	asks    map[uint64]chan *grant
+	tripped map[string]time.Time
+	recent  map[string][]done
+}
+
+func newDispatch(started int64) *dispatch {
+	d := &dispatch{asks: map[uint64]chan *grant{}, tripped: map[string]time.Time{}, recent: map[string][]done{}}
+	// Ids of a restarted process must not meet those of the one before it.
+	d.next.Store(uint64(started) << 20)
+	return d
+}
+
+// placed is a request that got a server.
+type placed struct {
+	choice placing.Choice
+	waited time.Duration
+	id     uint64
+	// granter is the host that placed the request.
+	granter string
+}
+
+// acquire gets a server for a request: from the pool's dispatcher, or, if that
+// cannot be reached, by the knowledge of this host alone. The error is a
+// truthful rejection: nothing was sent.
+func (h *Host) acquire(ctx context.Context, p *pool, need placing.Need, deadline time.Time, first bool) (placed, *result.Error) {
+	out := placed{id: h.dispatch.next.Add(1), granter: h.self.Name}
+	if d, ok := h.dispatcherOf(p.name); ok {
+		if done, err := h.askDispatcher(ctx, p, d, need, deadline, first, &out); done {
+			return out, err
+		}
+		out.id = h.dispatch.next.Add(1)
+		out.granter = h.self.Name
+	}
+	var err *result.Error
+	out.choice, out.waited, err = p.acquireHere(ctx, out.id, need, deadline)
+	if err == nil {
+		p.track(out.id, out.choice.Server.ID, out.granter)
+	}
+	return out, err
+}
+
+// release records the end of a placed request.
+func (h *Host) release(p *pool, x placed, need placing.Need, e ending) {
+	p.untrack(x.id)
+	if x.granter == h.self.Name {
+		p.end(time.Now(), flightKey{h.self.Name, x.id}, e)
+		return
+	}
+	p.finished(x.choice, need, e)
+	h.tellDone(x.granter, done{
+		ID: x.id, Pool: p.name, Outcome: e.outcome, TookUS: uint32(min(e.took.Microseconds(), 1<<31)),
+		Loaded: e.loaded, Running: e.running, Waiting: e.waiting,
+	})
+}
+
+// dispatcherOf returns another host that dispatches the pool and answers.
+func (h *Host) dispatcherOf(pool string) (peerState, bool) {
+	name := h.view.Load().dispatchers[pool]
+	if name == "" || name == h.self.Name {
+		return peerState{}, false
+	}
+	h.dispatch.mu.Lock()
+	until := h.dispatch.tripped[name]
+	h.dispatch.mu.Unlock()
+	if time.Now().Before(until) {
+		return peerState{}, false
+	}
+	return h.peers.get(name)
+}
+
+// askDispatcher asks another host for a server. It reports false if the host
+// did not answer.
+func (h *Host) askDispatcher(ctx context.Context, p *pool, d peerState, need placing.Need, deadline time.Time, first bool, out *placed) (bool, *result.Error) {
+	answers := make(chan *grant, askTries+2)
+	h.dispatch.mu.Lock()
+	h.dispatch.asks[out.id] = answers
+	h.dispatch.mu.Unlock()
+	defer func() {
+		h.dispatch.mu.Lock()
+		delete(h.dispatch.asks, out.id)
+		h.dispatch.mu.Unlock()
+	}()
+	out.granter = d.host.Name
+	request := &ask{
+		ID: out.id, Pool: p.name, Route: need.Route, Key: need.Key, Priority: need.Priority, TargetMS: uint32(need.Target.Milliseconds()),
+		LeftMS: uint32(max(time.Until(deadline), 0).Milliseconds()), Exclude: need.Exclude, Regions: need.Regions, First: first, Safe: need.Idempotent,
+	}
+	h.sendTo(d.addr, &datagram{Ask: request})
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	queued := false
+	for tries := 1; ; {
+		select {
+		case g := <-answers:
+			if g.Queued {
+				queued = true
+				timer.Reset(seconds(need.Target.Seconds()*holdShare) + grantSlack)
+				continue
+			}
+			return h.takeGrant(p, g, need, out)
+		case <-timer.C:
+			if !queued && tries < askTries {
+				tries++
+				h.sendTo(d.addr, &datagram{Ask: request})
+				timer.Reset(askTimeout)
+				continue
+			}
+			h.trip(d.host.Name, p.name)
+			h.tellDone(d.host.Name, done{ID: out.id, Pool: p.name, Outcome: placing.Abandoned})
+			return false, nil
+		case <-ctx.Done():
+			h.tellDone(d.host.Name, done{ID: out.id, Pool: p.name, Outcome: placing.Abandoned})
+			return true, result.Wrap(ctx.Err(), result.CallerGone, "the caller left while the request waited for a slot")
+		}
+	}
+}
+
+// takeGrant uses the answer of a dispatcher. A server that this host knows to
+// be leaving is not used; the request is placed here instead.
+func (h *Host) takeGrant(p *pool, g *grant, need placing.Need, out *placed) (bool, *result.Error) {
+	out.waited = time.Duration(g.WaitedMS) * time.Millisecond
+	out.choice = placing.Choice{
+		Verdict: g.Verdict, Remote: g.Remote, Expected: g.Expected, Load: float64(g.Load), Class: g.Class, Service: g.Service,
+	}
+	if g.Verdict != placing.Send {
+		return true, p.rejection(out.choice, need)
+	}
+	s, ok := p.server(g.Server)
+	if !ok {
+		h.tellDone(out.granter, done{ID: out.id, Pool: p.name, Outcome: placing.Abandoned})
+		return false, nil
+	}
+	out.choice.Server = s
+	p.started(out.choice, need)
+	p.track(out.id, s.ID, out.granter)
+	return true, nil
+}
+
+// trip leaves a dispatcher out for a while.
+func (h *Host) trip(name, pool string) {
+	h.dispatch.mu.Lock()
+	h.dispatch.tripped[name] = time.Now().Add(tripTime)
+	h.dispatch.mu.Unlock()
+	h.log.dispatcherSilent(name, pool)
+}
+
+// tellDone tells a dispatcher the end of a request, with the latest ones before
+// it in case their datagrams were lost.
+func (h *Host) tellDone(to string, d done) {
+	peer, ok := h.peers.get(to)
+	if !ok {
+		return // a host that is gone needs no news
+	}
+	h.dispatch.mu.Lock()
+	list := append(h.dispatch.recent[to], d)
+	if len(list) > doneRepeats {
+		list = append([]done(nil), list[len(list)-doneRepeats:]...)
+	}
+	h.dispatch.recent[to] = list
+	message := &datagram{Done: append([]done(nil), list...)}
+	h.dispatch.mu.Unlock()
+	h.sendTo(peer.addr, message)
+}
+
+// handleAsk places a request of another host.
+func (h *Host) handleAsk(from string, addr netip.AddrPort, a *ask) {
+	p := h.pool(a.Pool)
+	if p == nil {
+		h.sendTo(addr, &datagram{Grant: &grant{ID: a.ID, Verdict: placing.NoServer}})
+		return
+	}
+	key := flightKey{from, a.ID}
+	if f, waiting := p.find(key); f != nil {
+		h.sendTo(addr, grantOf(a.ID, f.choice, f.waited))
+		return
+	} else if waiting {
+		h.sendTo(addr, &datagram{Grant: &grant{ID: a.ID, Queued: true}})
+		return
+	}
+	need := placing.Need{
+		Key: a.Key, Route: a.Route, Idempotent: a.Safe, Priority: a.Priority, Target: time.Duration(a.TargetMS) * time.Millisecond,
+		Exclude: a.Exclude, Regions: a.Regions,
+	}
+	if a.First {
+		p.countAsked(need)
+	}
+	now := time.Now()
+	deadline := now.Add(time.Duration(a.LeftMS) * time.Millisecond)
+	queued := p.offer(now, key, need, deadline, func(c placing.Choice, waited time.Duration) {
+		h.sendTo(addr, grantOf(a.ID, c, waited))
+	})
+	if queued {
+		h.sendTo(addr, &datagram{Grant: &grant{ID: a.ID, Queued: true}})
+	}
+}
+
+func grantOf(id uint64, c placing.Choice, waited time.Duration) *datagram {
+	return &datagram{Grant: &grant{
+		ID: id, Verdict: c.Verdict, Server: c.Server.ID, Remote: c.Remote, Expected: c.Expected, Load: float32(c.Load),
+		Class: c.Class, Service: c.Service, WaitedMS: uint32(waited.Milliseconds()),
+	}}
+}
+
+// handleGrant gives a grant to the request that asked. One that nobody waits
+// for any more is handed back.
+func (h *Host) handleGrant(from string, g *grant) {
+	h.dispatch.mu.Lock()
+	answers := h.dispatch.asks[g.ID]
+	h.dispatch.mu.Unlock()
+	if answers == nil {
+		if g.Verdict == placing.Send && !g.Queued {
+			h.dropGrant(from, g)
+		}
+		return
+	}
+	select {
+	case answers <- g:
+	default: // a repeated answer
+	}
+}
+
+// dropGrant hands back a grant unless its request is in progress: then it is
+// the repeated answer to a repeated ask.
+func (h *Host) dropGrant(from string, g *grant) {
+	inUse, owner := false, ""
+	h.eachPool(func(p *pool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if f, ok := p.own[g.ID]; ok && f.granter == from {
+			inUse = true
+		}
+		if _, ok := p.place.Server(time.Now(), g.Server); ok {
+			owner = p.name
+		}
+	})
+	if !inUse && owner != "" {
+		h.tellDone(from, done{ID: g.ID, Pool: owner, Outcome: placing.Abandoned})
+	}
+}
+
+func (h *Host) handleDone(from string, list []done) {
+	now := time.Now()
+	for _, d := range list {
+		if p := h.pool(d.Pool); p != nil {
+			p.end(now, flightKey{from, d.ID}, ending{
+				outcome: d.Outcome, took: time.Duration(d.TookUS) * time.Microsecond, loaded: d.Loaded, running: d.Running, waiting: d.Waiting,
+			})
+		}
+	}
+}
+
+// sendReports tells the other regions about the pools that this host
+// dispatches.
+func (h *Host) sendReports(time.Time) {
+	var list []report
+	h.eachPool(func(p *pool) {
+		if h.dispatches(p.name) {
+			list = append(list, report{Pool: p.name, Region: h.region, Report: p.report()})
+		}
+	})
+	for _, r := range list {
+		for _, to := range h.peers.elsewhere(r.Pool, reportHosts) {
+			h.sendTo(to, &datagram{Report: []report{r}})
+		}
+	}
+}
+
+func (h *Host) handleReport(list []report) {
+	for _, r := range list {
+		if p := h.pool(r.Pool); p != nil && r.Region != h.region {
+			p.told(r.Region, r.Report)
+		}
+	}
+}
+
+// expireFlights ends placed requests whose end was never told.
+func (h *Host) expireFlights(now time.Time) {
+	h.eachPool(func(p *pool) { p.expire(now) })
+}
+
+// logPools writes the state of the pools that this host dispatches.
+func (h *Host) logPools(now time.Time) {
+	h.eachPool(func(p *pool) {
+		if !h.dispatches(p.name) {
+			return
+		}
+		p.mu.Lock()
+		state, waiting, flights := p.place.State(now), len(p.waiting), len(p.flights)
+		p.mu.Unlock()
+		h.log.pool(p.name, state, waiting, flights)
+	})
+}
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -61,12 +61,14 @@
 	poolsMu sync.RWMutex
 	pools   map[string]*pool
 
-	follow  *follower
-	splits  splits
-	peers   *peers
-	udp     *net.UDPConn
-	forward *forward.Forwarder
-	metrics *metrics
+	follow   *follower
+	splits   splits
+	peers    *peers
+	view     atomic.Pointer[view]
+	dispatch *dispatch
+	udp      *net.UDPConn
+	forward  *forward.Forwarder
+	metrics  *metrics
 
 	leaving atomic.Bool
 	// held counts the requests that were read and not answered.
@@ -84,7 +86,10 @@
 		follow: newFollower(), registry: registry.New(), pools: map[string]*pool{},
 		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}),
 	}
+	h.self.Capacity = cfg.Limits.CPUShare * cfg.Limits.Cores
 	h.peers = newPeers(h.self)
+	h.dispatch = newDispatch(h.self.Started)
+	h.view.Store(&view{region: 1})
 	h.evacuated.Store(&map[string]bool{})
 	h.metrics = newMetrics(h)
 	return h
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -60,6 +60,22 @@
 	l.Info().Bool("watch", r.Watch).Str("follow", r.Follow).Msg("source of the store's changes chosen")
 }
 
+func (l *eventLog) dispatcher(pool, before, after string, hosts int) {
+	l.Info().Str("pool", pool).Str("before", before).Str("dispatcher", after).Int("hosts", hosts).Msg("dispatcher chosen")
+}
+
+func (l *eventLog) pool(name string, s placing.State, waiting, flights int) {
+	l.Info().Str("pool", name).Int("servers", s.Servers).Int("usable", s.Usable).Int("slots", s.Slots).Float64("load", s.Load).
+		Float64("pressure", s.Pressure).Float64("remote_pressure", s.Remote).Float64("away", s.Away).Any("limits", s.Limits).
+		Int("waiting", waiting).Int("flights", flights).Msg("pool")
+}
+
+func (l *eventLog) dispatcherSilent(name, pool string) {
+	if l.allow() {
+		l.Warn().Str("pool", pool).Str("dispatcher", name).Msg("dispatcher does not answer, placing requests here")
+	}
+}
+
 func (l *eventLog) historyGone(kind feed.Kind) {
 	l.Info().Str("kind", kind.String()).Msg("history of the store is gone, listing anew")
 }
@@ -102,7 +118,7 @@
 		e = e.Str("pool", x.pool.name)
 	}
 	if x.attempts > 0 {
-		e = placed(e, x.choice)
+		e = placedAt(e, x)
 	}
 	if err != nil {
 		e = e.Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error())
@@ -119,10 +135,11 @@
 		return
 	}
 	e := l.Info().Str("id", x.id).Int("attempt", x.attempts).Int64("took_ms", took.Milliseconds())
-	placed(e, x.choice).Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error()).Msg("send failed")
+	placedAt(e, x).Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error()).Msg("send failed")
 }
 
-func placed(e *log.Entry, c placing.Choice) *log.Entry {
+func placedAt(e *log.Entry, x *exchange) *log.Entry {
+	c := x.placed.choice
 	return e.Str("server", c.Server.ID).Str("address", c.Server.Address).Str("domain", c.Server.Domain).Bool("remote", c.Remote).
-		Int64("expected_ms", c.Expected.Milliseconds()).Float64("load", c.Load).Int("slots", c.Server.Slots)
+		Str("granter", x.placed.granter).Int64("expected_ms", c.Expected.Milliseconds()).Float64("load", c.Load).Int("slots", c.Server.Slots)
 }
--- a/pkg/steer/lookup.go
+++ b/pkg/steer/lookup.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -33,7 +34,7 @@
 	r := bunrouter.New()
 	r.Compat().GET(h.names.LookupPath, func(w http.ResponseWriter, req *http.Request) {
 		query := req.URL.Query()
-		addresses := h.lookup(time.Now(), query.Get("zone"))
+		addresses := h.lookup(query.Get("zone"))
 		if len(addresses) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -48,8 +49,8 @@
 
 // lookup returns the caller addresses of the hosts for callers in domain.
 // Callers from another region are here because their own has no host left.
-func (h *Host) lookup(now time.Time, domain string) []string {
-	hosts := h.peers.live(now)
+func (h *Host) lookup(domain string) []string {
+	hosts := slices.Clone(h.view.Load().hosts)
 	if h.ready() {
 		hosts = append(hosts, h.self)
 	}
--- a/pkg/steer/metrics.go
+++ b/pkg/steer/metrics.go
@@ -19,6 +19,7 @@
 	sends      *prometheus.CounterVec
 	storeCalls *prometheus.CounterVec
 	logDropped prometheus.Counter
+	oversized  prometheus.Counter
 }
 
 // latencyBuckets are in seconds.
@@ -46,6 +47,9 @@
 			Name: "tamarackswitch_steer_log_dropped_total", Help: "Log lines that were dropped because of the rate limit.",
 		}),
 	}
+	m.oversized = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_oversized_datagrams_total", Help: "Datagrams to other hosts that exceed one packet.",
+	})
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tamarackswitch_steer_held_requests", Help: "Requests that were read and not answered.",
 	}, func() float64 { return float64(h.held.Load()) })
@@ -57,7 +61,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, held, version)
+	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversized, held, version)
 	h.log.dropped = m.logDropped
 	return m
 }
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,8 +22,10 @@
 	beaconEvery = 60 * time.Millisecond
 	beaconFar   = 120 * time.Millisecond
 	// peerLife is the time without a beacon after which a host counts as gone.
-	peerLife  = 1200 * time.Millisecond
-	maxBeacon = 1400 // bytes, one packet
+	peerLife    = 1200 * time.Millisecond
+	maxDatagram = 1400 // bytes, one packet
+	// bufferDatagram takes datagrams that are larger than one packet.
+	bufferDatagram = 64 << 10
 	// hostsFirst and hostsMost bound the interval at which the published hosts
 	// are read; beacons tell of new hosts at once.
 	hostsFirst = 400 * time.Millisecond
@@ -33,20 +34,6 @@
 	forgetAfter = 30 * time.Second
 )
 
-// beacon tells the other hosts of the region that this one lives, and what it
-// has in progress.
-type beacon struct {
-	Host    fleet.EntryHost `cbor:"1,keyasint"`
-	Leaving bool            `cbor:"2,keyasint"`
-	Ready   bool            `cbor:"3,keyasint"`
-	// Loads are the requests in progress by server.
-	Loads map[string]int `cbor:"4,keyasint,omitempty"`
-	// Watching, AgeMS and Versions describe the host's copy of the store.
-	Watching bool              `cbor:"5,keyasint,omitempty"`
-	AgeMS    uint32            `cbor:"6,keyasint"`
-	Versions [feed.Kinds]int64 `cbor:"7,keyasint"`
-}
-
 // peerState is what is known of another host.
 type peerState struct {
 	host    fleet.EntryHost
@@ -66,10 +53,6 @@
 type peers struct {
 	self fleet.EntryHost
 
-	// region counts the live hosts of the region; it is kept because every
-	// choice of a server asks for it.
-	region atomic.Int32
-
 	mu    sync.RWMutex
 	hosts map[string]*peerState
 }
@@ -149,28 +132,26 @@
 	return out
 }
 
-// regionCount returns the number of live hosts of the own region, this one
-// included.
-func (p *peers) regionCount() int { return int(p.region.Load()) + 1 }
-
-// owns reports whether this host is the one that sends to a cold server: one
-// host of the server's failure domain, or of its region if the domain has none.
-func (p *peers) owns(server, domain string) bool {
-	now := time.Now()
-	names, region := []string{}, []string{p.self.Name}
-	if p.self.Domain == domain {
-		names = append(names, p.self.Name)
-	}
-	for _, h := range p.live(now) {
-		region = append(region, h.Name)
-		if h.Domain == domain {
-			names = append(names, h.Name)
+// elsewhere returns the addresses of up to n hosts in each other region, those
+// that are first in line to dispatch the pool.
+func (p *peers) elsewhere(pool string, n int) []netip.AddrPort {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	regions := map[string][]rendezvous.Choice{}
+	for name, s := range p.hosts {
+		if s.host.Region != p.self.Region {
+			regions[s.host.Region] = append(regions[s.host.Region], rendezvous.Choice{Host: name, Capacity: s.host.Capacity})
 		}
 	}
-	if len(names) == 0 {
-		names = region
+	var out []netip.AddrPort
+	for _, list := range regions {
+		for range min(n, len(list)) {
+			first := rendezvous.PickWeighted(pool, list)
+			out = append(out, p.hosts[first].addr)
+			list = slices.DeleteFunc(list, func(c rendezvous.Choice) bool { return c.Host == first })
+		}
 	}
-	return rendezvous.Pick(server, names) == p.self.Name
+	return out
 }
 
 // targets returns the addresses for the beacons of one kind.
@@ -213,71 +194,83 @@
 		<-h.tomb.Dying()
 		return udp.Close()
 	})
-	h.tomb.Go(func() error { return h.hearBeacons(udp) })
+	h.tomb.Go(func() error { return h.hearDatagrams(udp) })
 	h.every(beaconEvery, func(now time.Time) {
-		h.sendBeacons(udp, h.peers.targets(now, true))
-		h.peers.region.Store(int32(len(h.peers.live(now))))
+		h.updateView(now)
+		h.sendBeacons(h.peers.targets(now, true))
 		for _, name := range h.peers.silent(now, beaconEvery) {
 			h.log.peerLost(name)
-			h.eachPool(func(p *pool) { p.peerLoad(name, nil) })
+			h.eachPool(func(p *pool) { p.forget(now, name) })
 		}
 	})
-	h.every(beaconFar, func(now time.Time) { h.sendBeacons(udp, h.peers.targets(now, false)) })
+	h.every(beaconFar, func(now time.Time) { h.sendBeacons(h.peers.targets(now, false)) })
+	h.every(reportEvery, h.sendReports)
+	h.every(expireEvery, h.expireFlights)
+	h.every(stateEvery, h.logPools)
 	h.tomb.Go(h.publish)
 	h.tomb.Go(h.readHosts)
 }
 
-func (h *Host) sendBeacons(conn *net.UDPConn, targets []netip.AddrPort) {
+func (h *Host) sendBeacons(targets []netip.AddrPort) {
 	if len(targets) == 0 {
 		return
 	}
 	b := beacon{Host: h.self, Leaving: h.leaving.Load(), Ready: h.ready(), Loads: map[string]int{}}
-	h.eachPool(func(p *pool) { p.loads(b.Loads) })
+	dispatchers := h.view.Load().dispatchers
+	h.eachPool(func(p *pool) { p.loads(dispatchers[p.name], b.Loads) })
 	h.follow.describe(time.Now(), &b)
-	raw, err := cbor.Marshal(&b)
-	if err == nil && len(raw) > maxBeacon {
-		b.Loads = nil
-		raw, err = cbor.Marshal(&b)
-	}
-	if err != nil {
-		h.log.warn(err, "beacon could not be encoded")
-		return
-	}
 	for _, t := range targets {
-		// A lost beacon is made up for by the next one.
-		_, _ = conn.WriteToUDPAddrPort(raw, t)
+		h.sendTo(t, &datagram{Beacon: &b})
 	}
 }
 
 // beaconNow tells the region of a change at once.
 func (h *Host) beaconNow() {
 	now := time.Now()
-	h.sendBeacons(h.udp, append(h.peers.targets(now, true), h.peers.targets(now, false)...))
+	h.sendBeacons(append(h.peers.targets(now, true), h.peers.targets(now, false)...))
 }
 
-func (h *Host) hearBeacons(conn *net.UDPConn) error {
-	buf := make([]byte, 2*maxBeacon)
+// hearDatagrams handles what other hosts send, one datagram at a time.
+func (h *Host) hearDatagrams(conn *net.UDPConn) error {
+	buf := make([]byte, bufferDatagram)
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buf)
+		n, addr, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if h.tomb.Alive() {
-				h.log.warn(err, "reading a beacon failed")
+				h.log.warn(err, "reading a datagram failed")
 				continue
 			}
 			return nil
 		}
-		var b beacon
-		if err := cbor.Unmarshal(buf[:n], &b); err != nil {
-			h.log.warn(err, "malformed beacon")
+		var d datagram
+		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
+			h.log.warn(err, "malformed datagram")
 			continue
 		}
-		if b.Host.Name == h.self.Name {
-			continue
+		if d.From != h.self.Name {
+			h.handleDatagram(addr, &d)
 		}
-		h.peers.hear(time.Now(), &b)
-		h.takeLoads(b.Host.Name, b.Loads)
-		if h.follow.follows(b.Host.Name) {
-			h.fetch(time.Now(), b.Host.Name)
+	}
+}
+
+func (h *Host) handleDatagram(addr netip.AddrPort, d *datagram) {
+	if d.Done != nil {
+		h.handleDone(d.From, d.Done)
+	}
+	if d.Ask != nil {
+		h.handleAsk(d.From, addr, d.Ask)
+	}
+	if d.Grant != nil {
+		h.handleGrant(d.From, d.Grant)
+	}
+	if d.Report != nil {
+		h.handleReport(d.Report)
+	}
+	if d.Beacon != nil {
+		h.peers.hear(time.Now(), d.Beacon)
+		h.takeLoads(d.From, d.Beacon.Loads)
+		if h.follow.follows(d.From) {
+			h.fetch(time.Now(), d.From)
 		}
 	}
 }
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -40,7 +40,7 @@
 	need     placing.Need
 	body     *forward.Body
 
-	choice   placing.Choice
+	placed   placed
 	attempts int
 	waited   time.Duration
 	// failed is set once an attempt may have run without an answer for the caller.
@@ -157,12 +157,12 @@
 func (h *Host) send(x *exchange) (*forward.Answer, *result.Error) {
 	x.pool.countRequest(x.need, h.peers.count())
 	for {
-		choice, waited, err := x.pool.acquire(x.in.Context(), x.need, x.route.Priority, x.deadline)
-		x.waited += waited
+		got, err := h.acquire(x.in.Context(), x.pool, x.need, x.deadline, x.attempts == 0)
+		x.waited += got.waited
 		if err != nil {
 			return nil, x.withEarlier(err)
 		}
-		x.choice = choice
+		x.placed = got
 		answer, err := h.attempt(x)
 		if err == nil && !h.repeatable(x, answer) {
 			return answer, nil
@@ -179,7 +179,7 @@
 			return nil, x.withEarlier(err)
 		}
 		x.failed = x.failed || err != nil && err.Run != result.NotRun
-		x.need.Exclude = append(x.need.Exclude, choice.Server.ID)
+		x.need.Exclude = append(x.need.Exclude, got.choice.Server.ID)
 	}
 }
 
@@ -188,14 +188,11 @@
 	x.attempts++
 	sent := time.Now()
 	answer, err := h.forward.Do(x.in.Context(), forward.Request{
-		In: x.in, Server: x.choice.Server.Address, Once: !x.route.Idempotent, Idempotent: x.route.Idempotent,
-		RequestID: x.id, ExpectServer: x.choice.Server.ID, DeadlineAt: x.deadline, AnswerSlack: answerSlack, Body: x.body,
+		In: x.in, Server: x.placed.choice.Server.Address, Once: !x.route.Idempotent, Idempotent: x.route.Idempotent,
+		RequestID: x.id, ExpectServer: x.placed.choice.Server.ID, DeadlineAt: x.deadline, AnswerSlack: answerSlack, Body: x.body,
 	})
 	took := time.Since(sent)
-	if err == nil {
-		h.learn(x, answer)
-	}
-	x.pool.finish(x.choice, x.need, outcomeOf(answer, err), took)
+	h.release(x.pool, x.placed, x.need, h.endingOf(answer, err, took))
 	h.metrics.sends.WithLabelValues(x.route.Name, codeName(err)).Inc()
 	if err != nil {
 		h.log.attempt(x, took, err)
@@ -204,17 +201,14 @@
 	return answer, nil
 }
 
-// learn takes the load that the server told with its answer.
-func (h *Host) learn(x *exchange, a *forward.Answer) {
-	text := a.Header.Get(h.names.ServerLoad)
-	if text == "" {
-		return
-	}
-	running, waiting, ok := parseLoad(text)
-	if !ok {
-		return // a malformed load is worth as much as none
+// endingOf describes the end of a send, with the load that the server told.
+func (h *Host) endingOf(a *forward.Answer, err *result.Error, took time.Duration) ending {
+	e := ending{outcome: outcomeOf(a, err), took: took}
+	if err == nil {
+		// A malformed load is worth as much as none.
+		e.running, e.waiting, e.loaded = parseLoad(a.Header.Get(h.names.ServerLoad))
 	}
-	x.pool.reported(x.choice.Server.ID, running, waiting)
+	return e
 }
 
 // parseLoad reads "running,waiting,slots".
--- a/pkg/steer/settings.go
+++ b/pkg/steer/settings.go
@@ -23,6 +23,7 @@
 	Regions  map[string]string `toml:"regions"`
 	Listen   Listen            `toml:"listen"`
 	Platform Platform          `toml:"platform"`
+	Limits   Limits            `toml:"limits"`
 	Bounds   Bounds            `toml:"bounds"`
 	Log      Log               `toml:"log"`
 }
@@ -50,6 +51,14 @@
 	Address string `toml:"address"`
 }
 
+// Limits are what the process may use.
+type Limits struct {
+	// CPUShare is the part of each core that the process gets.
+	CPUShare float64 `toml:"cpu_share"`
+	// Cores is the number of cores.
+	Cores float64 `toml:"cores"`
+}
+
 // Bounds are the limits that the deployment sets.
 type Bounds struct {
 	// Grace is the time from SIGTERM to SIGKILL.
@@ -143,6 +152,10 @@
 		return bad("bounds.retry_extra", "is negative")
 	case b.RetryWindow <= 0:
 		return bad("bounds.retry_window", "must be positive")
+	case s.Limits.CPUShare <= 0 || s.Limits.CPUShare > 1:
+		return bad("limits.cpu_share", "%v is not above 0 and at most 1", s.Limits.CPUShare)
+	case s.Limits.Cores <= 0:
+		return bad("limits.cores", "must be positive")
 	case s.Log.Rate <= 0:
 		return bad("log.rate", "must be positive")
 	}
