--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -24,6 +24,14 @@
 	// moveMargin is the share of the service time by which another server has
 	// to be better than the key's first one.
 	moveMargin = 0.15
+	// hopeful is the part of the learned service time below which a request is not
+	// expected to be answered; service times vary.
+	hopeful = 0.6
+	// adoptShare is the part of the requests that may go to the first server of
+	// their key although other servers know the object, so that servers that
+	// joined get their part.
+	adoptShare = 0.03
+	adoptBurst = 2
 	// exploreShare is the part of the region's slot time that may be lost by
 	// running requests at servers that do not know their object while the pool
 	// has no room: the objects in demand have to become known at more servers.
@@ -113,7 +121,10 @@
 	own     int // slots of the own region
 	// explore is the slot time in seconds that may be lost by running requests
 	// where their object is unknown.
-	explore   float64
+	explore float64
+	// adopt is the number of requests that may go to their key's first server
+	// although it does not know the object.
+	adopt     float64
 	exploreAt time.Time
 	// room is set while few slots of the own region are taken.
 	room     bool
@@ -305,6 +316,8 @@
 	// plain is the expected service time of a server of usual speed, service
 	// that of this one with the way there.
 	plain, service float64
+	// least is the learned service time of the class, 0 if there is none.
+	least float64
 }
 
 // Pick chooses a server. The caller must report Started after a Send.
@@ -342,6 +355,7 @@
 func (p *Pool) Request(now time.Time, n Need) {
 	service := p.expectedService(n)
 	p.refillExplore(now)
+	p.adopt = min(p.adopt+adoptShare, adoptBurst)
 	p.demand.add(now, n, service)
 	p.share.Request(now, n, service)
 	local, known := p.pressure(now)
@@ -355,7 +369,7 @@
 		Class: c.class, Service: seconds(c.plain),
 	}
 	switch {
-	case choice.Expected > n.Left:
+	case c.wait+c.least*hopeful > n.Left.Seconds():
 		choice.Verdict = TooLate
 	case c.load >= p.limit(n, c):
 		choice.Verdict = Wait
@@ -368,13 +382,13 @@
 	service := p.estimates(n)
 	first := p.preferred(n, local)
 	key := n.Route + "\x00" + n.Key
-	var best, open, fresh *candidate
+	var best, open, fresh, adopt *candidate
 	for _, s := range p.order {
 		if (s.region == p.region) != local || !p.usable(now, s, n) {
 			continue
 		}
 		c := candidate{server: s, load: s.load(now), class: s.keys.class(key)}
-		c.plain = service[c.class]
+		c.plain, c.least = service[c.class], p.learned(n.Route, c.class)
 		c.service = c.plain * s.slow
 		if over := c.load - float64(s.Slots) + 1; over > 0 {
 			c.wait = over / float64(s.Slots) * p.usual(service) * s.slow
@@ -395,6 +409,9 @@
 		if c.load >= p.limit(n, &c) {
 			continue
 		}
+		if s == first && c.class == unknown && p.adopt >= 1 {
+			adopt = &c
+		}
 		if c.class == unknown && !p.room {
 			if fresh == nil || c.cost < fresh.cost {
 				fresh = &c
@@ -404,6 +421,8 @@
 		}
 	}
 	switch {
+	case adopt != nil:
+		return adopt
 	case open != nil:
 		return open
 	case fresh != nil && p.explore >= fresh.plain-service[0]:
@@ -497,6 +516,19 @@
 	return classShares[0] * n.Target.Seconds()
 }
 
+// learned is the learned service time of a class in seconds, 0 if there are too
+// few answers.
+func (p *Pool) learned(route string, c Class) float64 {
+	if known := p.services[route]; known != nil && known[c].n >= learnedLeast {
+		return known[c].mean
+	}
+	return 0
+}
+
+// learnedLeast is the number of answers from which on a service time is used to
+// reject requests.
+const learnedLeast = 5
+
 // pressure is the share of the usable slots of the own region that are taken or
 // waited for.
 func (p *Pool) pressure(now time.Time) (float64, bool) {
@@ -520,7 +552,9 @@
 		if s.isCold(now) {
 			s.cold.take()
 		}
-		if c.Class == unknown && !p.room {
+		if c.Class == unknown && p.adopt >= 1 {
+			p.adopt--
+		} else if c.Class == unknown && !p.room {
 			p.explore -= c.Service.Seconds() - p.estimates(n)[0]
 		}
 		s.keys.add(now, n.Route+"\x00"+n.Key)
