--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -135,8 +135,8 @@
 	Evacuated func(domain string) bool
 	// Hosts returns the number of entry hosts in the region.
 	Hosts func() int
-	// Waiting is the number of requests that wait for a slot.
-	Waiting int
+	// waiting is the number of requests that wait for a slot.
+	waiting int
 }
 
 // New returns a pool without servers for a host in region.
@@ -325,29 +325,27 @@
 // A key belongs to the own region or, for the share of keys that the region has
 // no room for, to the others, so that each server sees the same keys again.
 func (p *Pool) Pick(now time.Time, n Need) Choice {
-	local, remote := p.best(now, n, true), p.best(now, n, false)
-	switch {
-	case local == nil && remote == nil:
-		return Choice{Verdict: NoServer}
-	case local == nil:
-		return p.decide(n, remote, true)
-	case remote == nil:
-		return p.decide(n, local, false)
-	}
 	away := p.share.Away(n.Route, n.Key)
-	home, other := local, remote
-	if away {
-		home, other = remote, local
-	}
-	choice := p.decide(n, home, away)
-	if choice.Verdict == Send && choice.Expected <= n.Target {
+	home := p.best(now, n, !away)
+	if home != nil {
+		choice := p.decide(n, home, away)
+		if choice.Verdict == Send && choice.Expected <= n.Target {
+			return choice
+		}
+		other := p.best(now, n, away)
+		if other == nil {
+			return choice
+		}
+		second := p.decide(n, other, !away)
+		if second.Verdict == Send && (choice.Verdict != Send || second.Expected <= n.Target) && p.share.Overflow() {
+			return second
+		}
 		return choice
 	}
-	second := p.decide(n, other, !away)
-	if second.Verdict == Send && (choice.Verdict != Send || second.Expected <= n.Target) && p.share.Overflow() {
-		return second
+	if other := p.best(now, n, away); other != nil {
+		return p.decide(n, other, !away)
 	}
-	return choice
+	return Choice{Verdict: NoServer}
 }
 
 // Request counts a new request of the pool and moves the share of keys that
@@ -371,7 +369,7 @@
 	switch {
 	case c.wait+c.least*hopeful > n.Left.Seconds():
 		choice.Verdict = TooLate
-	case c.load >= p.limit(n, c):
+	case c.load >= p.limits(n).of(c.Slots):
 		choice.Verdict = Wait
 	}
 	return choice
@@ -383,11 +381,14 @@
 	first := p.preferred(n, local)
 	key := n.Route + "\x00" + n.Key
 	var best, open, fresh, adopt *candidate
+	all := make([]candidate, 0, len(p.order))
+	limits := p.limits(n)
 	for _, s := range p.order {
 		if (s.region == p.region) != local || !p.usable(now, s, n) {
 			continue
 		}
-		c := candidate{server: s, load: s.load(now), class: s.keys.class(key)}
+		all = append(all, candidate{server: s, load: s.load(now), class: s.keys.class(key)})
+		c := &all[len(all)-1]
 		c.plain, c.least = service[c.class], p.learned(n.Route, c.class)
 		c.service = c.plain * s.slow
 		if over := c.load - float64(s.Slots) + 1; over > 0 {
@@ -404,20 +405,20 @@
 			c.cost += RemoteTime.Seconds()
 		}
 		if best == nil || c.cost < best.cost {
-			best = &c
+			best = c
 		}
-		if c.load >= p.limit(n, &c) {
+		if c.load >= limits.of(s.Slots) {
 			continue
 		}
 		if s == first && c.class == unknown && p.adopt >= 1 {
-			adopt = &c
+			adopt = c
 		}
 		if c.class == unknown && !p.room {
 			if fresh == nil || c.cost < fresh.cost {
-				fresh = &c
+				fresh = c
 			}
 		} else if open == nil || c.cost < open.cost {
-			open = &c
+			open = c
 		}
 	}
 	switch {
@@ -440,10 +441,24 @@
 	return service[0]
 }
 
-// limit returns the number of requests at a server from which on a request has
+// limits gives the number of requests at a server from which on a request has
 // to wait.
-func (p *Pool) limit(n Need, c *candidate) float64 {
-	return p.demand.limit(n.Priority, p.Hosts(), c.Slots, p.own)
+type limits struct {
+	p        *Pool
+	priority int
+	slots    int
+	limit    float64
+}
+
+func (p *Pool) limits(n Need) *limits { return &limits{p: p, priority: n.Priority} }
+
+// of returns the limit of a server. Servers of a pool mostly have the same
+// number of slots, so the last one is kept.
+func (l *limits) of(slots int) float64 {
+	if l.slots != slots {
+		l.slots, l.limit = slots, l.p.demand.limit(l.priority, l.p.Hosts(), slots, l.p.own)
+	}
+	return l.limit
 }
 
 // preferred returns the first server of the key, whether usable or not at this
@@ -532,7 +547,7 @@
 // pressure is the share of the usable slots of the own region that are taken or
 // waited for.
 func (p *Pool) pressure(now time.Time) (float64, bool) {
-	load, slots := float64(p.Waiting), 0
+	load, slots := float64(p.waiting), 0
 	for _, s := range p.order {
 		if s.region == p.region && p.usable(now, s, Need{}) && !s.isCold(now) {
 			load += min(s.load(now), float64(2*s.Slots))
--- a/pkg/steer/dispatch.go
+++ b/pkg/steer/dispatch.go
@@ -111,8 +111,8 @@
 		out.id = h.dispatch.next.Add(1)
 		out.granter = h.self.Name
 	}
-	var err *result.Error
-	out.choice, out.waited, err = p.acquireHere(ctx, out.id, need, deadline)
+	placement, err := p.acquireHere(ctx, out.id, need, deadline)
+	out.choice, out.waited = placement.Choice, placement.Waited
 	if err == nil {
 		p.track(out.id, out.choice.Server.ID, out.granter)
 	}
@@ -120,16 +120,16 @@
 }
 
 // release records the end of a placed request.
-func (h *Host) release(p *pool, x placed, need placing.Need, e ending) {
+func (h *Host) release(p *pool, x placed, need placing.Need, e placing.Ending) {
 	p.untrack(x.id)
 	if x.granter == h.self.Name {
-		p.end(time.Now(), flightKey{h.self.Name, x.id}, e)
+		p.end(time.Now(), placing.Ref{Host: h.self.Name, ID: x.id}, e)
 		return
 	}
 	p.finished(x.choice, need, e)
 	h.tellDone(x.granter, done{
-		ID: x.id, Pool: p.name, Outcome: e.outcome, TookUS: uint32(min(e.took.Microseconds(), 1<<31)),
-		Loaded: e.loaded, Running: e.running, Waiting: e.waiting,
+		ID: x.id, Pool: p.name, Outcome: e.Outcome, TookUS: uint32(min(e.Took.Microseconds(), 1<<31)),
+		Loaded: e.Loaded, Running: e.Running, Waiting: e.Waiting,
 	})
 }
 
@@ -174,7 +174,7 @@
 		case g := <-answers:
 			if g.Queued {
 				queued = true
-				timer.Reset(seconds(need.Target.Seconds()*holdShare) + grantSlack)
+				timer.Reset(time.Duration(float64(need.Target)*placing.HoldShare) + grantSlack)
 				continue
 			}
 			return h.takeGrant(p, g, need, out)
@@ -249,9 +249,9 @@
 		h.sendTo(addr, &datagram{Grant: &grant{ID: a.ID, Verdict: placing.NoServer}})
 		return
 	}
-	key := flightKey{from, a.ID}
-	if f, waiting := p.find(key); f != nil {
-		h.sendTo(addr, grantOf(a.ID, f.choice, f.waited))
+	ref := placing.Ref{Host: from, ID: a.ID}
+	if known, placed, waiting := p.find(ref); placed {
+		h.sendTo(addr, grantOf(known))
 		return
 	} else if waiting {
 		h.sendTo(addr, &datagram{Grant: &grant{ID: a.ID, Queued: true}})
@@ -266,18 +266,17 @@
 	}
 	now := time.Now()
 	deadline := now.Add(time.Duration(a.LeftMS) * time.Millisecond)
-	queued := p.offer(now, key, need, deadline, func(c placing.Choice, waited time.Duration) {
-		h.sendTo(addr, grantOf(a.ID, c, waited))
-	})
+	queued := p.offer(now, ref, need, deadline, func(placement placing.Placement) { h.sendTo(addr, grantOf(placement)) })
 	if queued {
 		h.sendTo(addr, &datagram{Grant: &grant{ID: a.ID, Queued: true}})
 	}
 }
 
-func grantOf(id uint64, c placing.Choice, waited time.Duration) *datagram {
+func grantOf(p placing.Placement) *datagram {
+	c := p.Choice
 	return &datagram{Grant: &grant{
-		ID: id, Verdict: c.Verdict, Server: c.Server.ID, Remote: c.Remote, Expected: c.Expected, Load: float32(c.Load),
-		Class: c.Class, Service: c.Service, WaitedMS: uint32(waited.Milliseconds()),
+		ID: p.Ref.ID, Verdict: c.Verdict, Server: c.Server.ID, Remote: c.Remote, Expected: c.Expected, Load: float32(c.Load),
+		Class: c.Class, Service: c.Service, WaitedMS: uint32(p.Waited.Milliseconds()),
 	}}
 }
 
@@ -322,8 +321,8 @@
 	now := time.Now()
 	for _, d := range list {
 		if p := h.pool(d.Pool); p != nil {
-			p.end(now, flightKey{from, d.ID}, ending{
-				outcome: d.Outcome, took: time.Duration(d.TookUS) * time.Microsecond, loaded: d.Loaded, running: d.Running, waiting: d.Waiting,
+			p.end(now, placing.Ref{Host: from, ID: d.ID}, placing.Ending{
+				Outcome: d.Outcome, Took: time.Duration(d.TookUS) * time.Microsecond, Loaded: d.Loaded, Running: d.Running, Waiting: d.Waiting,
 			})
 		}
 	}
@@ -365,7 +364,8 @@
 			return
 		}
 		p.mu.Lock()
-		state, waiting, flights := p.place.State(now), len(p.waiting), len(p.flights)
+		state := p.place.State(now)
+		flights, waiting := p.place.Counts()
 		p.mu.Unlock()
 		h.log.pool(p.name, state, waiting, flights)
 	})
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,21 +11,9 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
-// Limits of waiting requests.
-const (
-	// holdShare is the part of the target latency for which a request waits for
-	// a slot before it is rejected.
-	holdShare = 0.25
-	// waitersMost bounds the waiting requests of one pool.
-	waitersMost = 256
-	waitTick    = 15 * time.Millisecond
-	// wakeTries bounds the waiting requests that are looked at when a slot may
-	// have come free, the most urgent first.
-	wakeTries = 12
-	// flightSlack is how long after its deadline a request may still be in
-	// progress before it counts as ended.
-	flightSlack = 500 * time.Millisecond
-)
+// waitTick is how often the waiting requests are looked at beside the ends of
+// others.
+const waitTick = 15 * time.Millisecond
 
 // pool is the shard of one pool's state. The pool's dispatcher places the
 // requests of the whole region; on other hosts the pool holds what this host
@@ -36,54 +23,32 @@
 	name string
 
 	mu      sync.Mutex
-	place   *placing.Pool
+	place   *placing.Dispatcher
 	repeats *retry.Share
-	waiting []*waiter
 	ticking bool
-	// flights are the requests that were placed here.
-	flights map[flightKey]*flight
+	// waiters take the placements of the waiting requests. They are called with
+	// the pool locked.
+	waiters map[placing.Ref]func(placing.Placement)
 	// own are the servers of this host's sends and who granted them.
 	own map[uint64]ownFlight
 }
 
-// flightKey names a request of a host.
-type flightKey struct {
-	host string
-	id   uint64
-}
-
-// flight is a request that was placed and has not ended.
-type flight struct {
-	choice placing.Choice
-	need   placing.Need
-	until  time.Time
-	waited time.Duration
-}
-
 type ownFlight struct {
 	server, granter string
 }
 
-// waiter is a request that waits for a slot.
-type waiter struct {
-	key      flightKey
-	need     placing.Need
-	since    time.Time
-	deadline time.Time
-	until    time.Time // when the wait ends
-	// deliver takes the choice; it is called with the pool locked.
-	deliver func(c placing.Choice, waited time.Duration)
-}
-
 func newPool(h *Host, name string) *pool {
-	p := &pool{h: h, name: name, place: placing.New(h.region), flights: map[flightKey]*flight{}, own: map[uint64]ownFlight{}}
+	decisions := placing.New(h.region)
+	p := &pool{
+		h: h, name: name, place: placing.NewDispatcher(decisions), waiters: map[placing.Ref]func(placing.Placement){}, own: map[uint64]ownFlight{},
+	}
 	b := h.cfg.Bounds
 	p.repeats = retry.NewShare(b.RetryRatio, float64(b.RetryExtra))
 	// One host of a region sends to its cold servers, so that their sum stays
 	// within what they bear.
-	p.place.OwnsCold = func(s fleet.Server) bool { return h.dispatches(name) && h.regionOf(s.Domain) == h.region }
-	p.place.Evacuated = h.isEvacuated
-	p.place.Hosts = func() int {
+	decisions.OwnsCold = func(s fleet.Server) bool { return h.dispatches(name) && h.regionOf(s.Domain) == h.region }
+	decisions.Evacuated = h.isEvacuated
+	decisions.Hosts = func() int {
 		if h.dispatches(name) {
 			return 1
 		}
@@ -96,168 +61,95 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.place.Update(now, servers, row.ColdRate, p.h.regionOf)
-	p.wake(now)
+	p.deliver(p.place.Wake(now))
 }
 
 // offer places a request. If all servers are busy, the request waits and offer
 // returns true; deliver is called once in any case.
-func (p *pool) offer(now time.Time, key flightKey, need placing.Need, deadline time.Time, deliver func(placing.Choice, time.Duration)) (queued bool) {
+func (p *pool) offer(now time.Time, ref placing.Ref, need placing.Need, deadline time.Time, deliver func(placing.Placement)) (queued bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	need.Left = deadline.Sub(now)
-	choice := p.place.Pick(now, need)
-	hold := min(seconds(need.Target.Seconds()*holdShare), need.Left-choice.Expected)
-	if choice.Verdict == placing.Wait && len(p.waiting) < waitersMost && hold > 0 {
-		p.enqueue(&waiter{key: key, need: need, since: now, deadline: deadline, until: now.Add(hold), deliver: deliver})
-		return true
+	placement, queued := p.place.Offer(now, ref, need, deadline)
+	if !queued {
+		deliver(placement)
+		return false
 	}
-	p.start(now, key, choice, need, deadline, 0)
-	deliver(choice, 0)
-	return false
-}
-
-// start records a placed request.
-func (p *pool) start(now time.Time, key flightKey, c placing.Choice, need placing.Need, deadline time.Time, waited time.Duration) {
-	if c.Verdict != placing.Send {
-		return
+	p.waiters[ref] = deliver
+	if !p.ticking {
+		p.ticking = true
+		time.AfterFunc(waitTick, p.tick)
 	}
-	p.place.Started(now, c, need)
-	p.flights[key] = &flight{choice: c, need: need, until: deadline.Add(flightSlack), waited: waited}
+	return true
 }
 
-// enqueue orders the waiting requests by priority, then by arrival.
-func (p *pool) enqueue(w *waiter) {
-	i, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *waiter) int {
-		if a.need.Priority != b.need.Priority {
-			return a.need.Priority - b.need.Priority
+// deliver gives the placements to those that wait for them.
+func (p *pool) deliver(list []placing.Placement) {
+	for _, placement := range list {
+		if deliver := p.waiters[placement.Ref]; deliver != nil {
+			delete(p.waiters, placement.Ref)
+			deliver(placement)
 		}
-		return a.since.Compare(b.since)
-	})
-	p.waiting = slices.Insert(p.waiting, i, w)
-	p.place.Waiting = len(p.waiting)
-	if !p.ticking {
-		p.ticking = true
-		time.AfterFunc(waitTick, p.tick)
 	}
 }
 
 func (p *pool) tick() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wake(time.Now())
-	p.ticking = len(p.waiting) > 0
+	p.deliver(p.place.Wake(time.Now()))
+	_, waiting := p.place.Counts()
+	p.ticking = waiting > 0
 	if p.ticking {
 		time.AfterFunc(waitTick, p.tick)
 	}
 }
 
-// wake offers free slots to the waiting requests. The caller holds the lock.
-func (p *pool) wake(now time.Time) {
-	keep := p.waiting[:0]
-	tried := 0
-	for _, w := range p.waiting {
-		if tried >= wakeTries && now.Before(w.until) {
-			keep = append(keep, w)
-			continue
-		}
-		tried++
-		w.need.Left = w.deadline.Sub(now)
-		choice := p.place.Pick(now, w.need)
-		if choice.Verdict == placing.Wait && now.Before(w.until) {
-			keep = append(keep, w)
-			continue
-		}
-		waited := now.Sub(w.since)
-		p.start(now, w.key, choice, w.need, w.deadline, waited)
-		w.deliver(choice, waited)
-	}
-	clear(p.waiting[len(keep):])
-	p.waiting = keep
-	p.place.Waiting = len(p.waiting)
-}
-
-// ending is how a request ended, and the load that the server told.
-type ending struct {
-	outcome          placing.Outcome
-	took             time.Duration
-	loaded           bool
-	running, waiting int
-}
-
 // end records the end of a request that was placed here, or takes it out of the
 // queue.
-func (p *pool) end(now time.Time, key flightKey, e ending) {
+func (p *pool) end(now time.Time, ref placing.Ref, e placing.Ending) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f := p.flights[key]
-	if f == nil {
-		p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool { return w.key == key })
-		return
-	}
-	delete(p.flights, key)
-	p.learn(now, f.choice, f.need, e)
-	p.wake(now)
+	delete(p.waiters, ref)
+	p.deliver(p.place.End(now, ref, e))
 }
 
-func (p *pool) learn(now time.Time, c placing.Choice, need placing.Need, e ending) {
-	if e.loaded {
-		p.place.Reported(now, c.Server.ID, e.running, e.waiting)
-	}
-	p.place.Finished(now, c, need, e.outcome, e.took)
-}
-
-// find returns the flight of a request, and whether the request is waiting.
-func (p *pool) find(key flightKey) (f *flight, waiting bool) {
+// find returns the placement of a request in progress, and whether the request
+// waits.
+func (p *pool) find(ref placing.Ref) (_ placing.Placement, placed, waiting bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if f = p.flights[key]; f != nil {
-		return f, false
-	}
-	return nil, slices.ContainsFunc(p.waiting, func(w *waiter) bool { return w.key == key })
+	return p.place.Find(ref)
 }
 
 // expire ends flights whose end was never told.
 func (p *pool) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for key, f := range p.flights {
-		if now.After(f.until) {
-			delete(p.flights, key)
-			p.place.Finished(now, f.choice, f.need, placing.Abandoned, 0)
-		}
-	}
+	p.place.Expire(now)
 }
 
 // forget ends the flights of a host that is gone.
 func (p *pool) forget(now time.Time, host string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.place.PeerLoad(host, nil)
-	for key, f := range p.flights {
-		if key.host == host {
-			delete(p.flights, key)
-			p.place.Finished(now, f.choice, f.need, placing.Abandoned, 0)
+	for ref := range p.waiters {
+		if ref.Host == host {
+			delete(p.waiters, ref)
 		}
 	}
-	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool { return w.key.host == host })
-	p.wake(now)
+	p.deliver(p.place.Forget(now, host))
 }
 
 // acquireHere places a request of this host without another dispatcher.
-func (p *pool) acquireHere(ctx context.Context, id uint64, need placing.Need, deadline time.Time) (placing.Choice, time.Duration, *result.Error) {
-	type delivery struct {
-		choice placing.Choice
-		waited time.Duration
-	}
-	key := flightKey{p.h.self.Name, id}
-	delivered := make(chan delivery, 1)
-	p.offer(time.Now(), key, need, deadline, func(c placing.Choice, waited time.Duration) { delivered <- delivery{c, waited} })
+func (p *pool) acquireHere(ctx context.Context, id uint64, need placing.Need, deadline time.Time) (placing.Placement, *result.Error) {
+	ref := placing.Ref{Host: p.h.self.Name, ID: id}
+	delivered := make(chan placing.Placement, 1)
+	p.offer(time.Now(), ref, need, deadline, func(placement placing.Placement) { delivered <- placement })
 	select {
-	case d := <-delivered:
-		return d.choice, d.waited, p.rejection(d.choice, need)
+	case placement := <-delivered:
+		return placement, p.rejection(placement.Choice, need)
 	case <-ctx.Done():
-		p.end(time.Now(), key, ending{outcome: placing.Abandoned})
-		return placing.Choice{Verdict: placing.Wait}, 0, result.Wrap(ctx.Err(), result.CallerGone, "the caller left while the request waited for a slot")
+		p.end(time.Now(), ref, placing.Ending{Outcome: placing.Abandoned})
+		return placing.Placement{}, result.Wrap(ctx.Err(), result.CallerGone, "the caller left while the request waited for a slot")
 	}
 }
 
@@ -282,10 +174,10 @@
 	p.place.Started(time.Now(), c, need)
 }
 
-func (p *pool) finished(c placing.Choice, need placing.Need, e ending) {
+func (p *pool) finished(c placing.Choice, need placing.Need, e placing.Ending) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.learn(time.Now(), c, need, e)
+	p.place.Learn(time.Now(), c, need, e)
 }
 
 // server returns a server that takes requests.
@@ -366,5 +258,3 @@
 	defer p.mu.Unlock()
 	return p.place.Report(time.Now())
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -202,11 +202,11 @@
 }
 
 // endingOf describes the end of a send, with the load that the server told.
-func (h *Host) endingOf(a *forward.Answer, err *result.Error, took time.Duration) ending {
-	e := ending{outcome: outcomeOf(a, err), took: took}
+func (h *Host) endingOf(a *forward.Answer, err *result.Error, took time.Duration) placing.Ending {
+	e := placing.Ending{Outcome: outcomeOf(a, err), Took: took}
 	if err == nil {
 		// A malformed load is worth as much as none.
-		e.running, e.waiting, e.loaded = parseLoad(a.Header.Get(h.names.ServerLoad))
+		e.Running, e.Waiting, e.Loaded = parseLoad(a.Header.Get(h.names.ServerLoad))
 	}
 	return e
 }
