Reject at once what the line of waiting requests cannot serve

Change: the line's recent speed by priority tells the expected wait; a request that would wait longer than its hold is rejected at once.

--- a/pkg/core/placing/dispatcher.go
+++ b/pkg/core/placing/dispatcher.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -15,6 +16,11 @@
 	// wakeTries bounds the waiting requests that are looked at when a slot may
 	// have come free, the most urgent first.
 	wakeTries = 12
+	// drainHalf is the time in which past ends of waits lose half of their weight,
+	// and drainLeast the time for which requests must have waited without a pause
+	// before they tell how fast the line moves.
+	drainHalf  = time.Second
+	drainLeast = 300 * time.Millisecond
 	// flightSlack is how long after its deadline a request may still be in
 	// progress before it counts as ended.
 	flightSlack = 500 * time.Millisecond
@@ -50,6 +56,11 @@
 	*Pool
 	flights map[Ref]*flight
 	line    []*waiter // by priority, then by arrival
+	// drained counts the requests that got a slot from the line, with decay, by
+	// priority; since is when the line was last empty.
+	drained   map[int]float64
+	drainedAt time.Time
+	since     time.Time
 }
 
 // flight is a request that was placed and has not ended.
@@ -68,21 +79,64 @@
 }
 
 // NewDispatcher returns a dispatcher for a pool.
-func NewDispatcher(p *Pool) *Dispatcher { return &Dispatcher{Pool: p, flights: map[Ref]*flight{}} }
+func NewDispatcher(p *Pool) *Dispatcher {
+	return &Dispatcher{Pool: p, flights: map[Ref]*flight{}, drained: map[int]float64{}}
+}
 
-// Offer places a request, or queues it if all servers are busy; a later call of
-// Wake, End or Forget then returns its placement.
+// Offer places a request, or queues it if all servers are busy and a slot is
+// expected in time; a later call of Wake, End or Forget then returns its
+// placement. A request that is not expected to get a slot is rejected at once.
 func (d *Dispatcher) Offer(now time.Time, ref Ref, need Need, deadline time.Time) (_ Placement, queued bool) {
 	need.Left = deadline.Sub(now)
 	choice := d.Pick(now, need)
 	hold := min(seconds(need.Target.Seconds()*HoldShare), need.Left-choice.Expected)
-	if choice.Verdict == Wait && len(d.line) < waitingMost && hold > 0 {
+	if choice.Verdict == Wait && len(d.line) < waitingMost && d.expectedWait(now, need) < hold {
 		d.enqueue(&waiter{ref: ref, need: need, since: now, deadline: deadline, until: now.Add(hold)})
 		return Placement{}, true
 	}
 	return d.start(now, ref, choice, need, deadline, 0), false
 }
 
+// expectedWait is how long a request waits for a slot behind those in line.
+func (d *Dispatcher) expectedWait(now time.Time, need Need) time.Duration {
+	ahead := 0
+	for _, w := range d.line {
+		if w.need.Priority <= need.Priority {
+			ahead++
+		}
+	}
+	if ahead == 0 {
+		return 0
+	}
+	// Before the line has told how fast it moves, every slot counts.
+	rate := float64(d.own) / d.usual(d.estimates(need))
+	if now.Sub(d.since) >= drainLeast {
+		d.decay(now)
+		rate = 0
+		for priority, n := range d.drained {
+			if priority <= need.Priority {
+				rate += n * math.Ln2 / drainHalf.Seconds()
+			}
+		}
+	}
+	if rate <= 0 {
+		return math.MaxInt64
+	}
+	return seconds(min(float64(ahead)/rate, maxWait))
+}
+
+// maxWait bounds expected waits in seconds.
+const maxWait = 3600
+
+// decay lets past ends of waits lose weight.
+func (d *Dispatcher) decay(now time.Time) {
+	keep := math.Exp2(-float64(now.Sub(d.drainedAt)) / float64(drainHalf))
+	for priority := range d.drained {
+		d.drained[priority] *= keep
+	}
+	d.drainedAt = now
+}
+
 func (d *Dispatcher) start(now time.Time, ref Ref, c Choice, need Need, deadline time.Time, waited time.Duration) Placement {
 	p := Placement{Ref: ref, Choice: c, Waited: waited}
 	if c.Verdict == Send {
@@ -93,6 +147,11 @@
 }
 
 func (d *Dispatcher) enqueue(w *waiter) {
+	if len(d.line) == 0 {
+		d.since = w.since
+		clear(d.drained)
+		d.drainedAt = w.since
+	}
 	i, _ := slices.BinarySearchFunc(d.line, w, func(a, b *waiter) int {
 		if a.need.Priority != b.need.Priority {
 			return a.need.Priority - b.need.Priority
@@ -121,6 +180,10 @@
 			keep = append(keep, w)
 			continue
 		}
+		if choice.Verdict == Send {
+			d.decay(now)
+			d.drained[w.need.Priority]++
+		}
 		out = append(out, d.start(now, w.ref, choice, w.need, w.deadline, now.Sub(w.since)))
 	}
 	clear(d.line[len(keep):])
