--- /dev/null
+++ b/pkg/core/feed/feed_test.go
@@ -0,0 +1,162 @@
+package feed
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+func item(name string, revision int64) Item {
+	return Item{Name: name, Revision: revision, Server: &fleet.Server{ID: name}}
+}
+
+func names(l *Log) []string {
+	var out []string
+	for name := range l.Items() {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Guards against a copy that goes back when an older source answers late.
+func TestOlderChangesAreIgnored(t *testing.T) {
+	l := NewLog()
+	require.True(t, l.Apply(Changes{Revision: 5, Whole: true, Items: []Item{item("a", 3), item("b", 5)}}))
+	require.True(t, l.Apply(Changes{Revision: 7, Items: []Item{{Name: "a", Revision: 7, Deleted: true}}}))
+	require.False(t, l.Apply(Changes{Revision: 6, Whole: true, Items: []Item{item("a", 3), item("b", 5)}}))
+	require.Equal(t, []string{"b"}, names(l))
+	require.False(t, l.Apply(Changes{Revision: 9}))
+	require.Equal(t, int64(9), l.Revision())
+	require.Equal(t, int64(7), l.Version(), "a follower need not fetch what did not change")
+}
+
+// Guards against followers that end with other items than the source, whatever
+// they miss in between.
+func TestFollowersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, follower := NewLog(), NewLog()
+		revision := int64(1)
+		source.Apply(Changes{Revision: revision, Whole: true})
+		live := map[string]Item{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			name := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "name"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				revision++
+				live[name] = item(name, revision)
+				source.Apply(Changes{Revision: revision, Items: []Item{live[name]}})
+			case 1:
+				revision++
+				delete(live, name)
+				source.Apply(Changes{Revision: revision, Items: []Item{{Name: name, Revision: revision, Deleted: true}}})
+			case 2:
+				revision++
+				list := Changes{Revision: revision, Whole: true}
+				for _, i := range live {
+					list.Items = append(list.Items, i)
+				}
+				source.Apply(list)
+			case 3:
+				follower.Apply(source.Since(follower.Revision()))
+			}
+		}
+		follower.Apply(source.Since(follower.Revision()))
+		require.Equal(t, source.Items(), follower.Items())
+		require.GreaterOrEqual(t, follower.Revision(), source.Version())
+	})
+}
+
+// Guards against followers that miss removals which the source has forgotten.
+func TestForgottenRemovals(t *testing.T) {
+	source, follower := NewLog(), NewLog()
+	source.Apply(Changes{Revision: 1, Whole: true, Items: []Item{item("kept", 1), item("lost", 1)}})
+	follower.Apply(source.Since(0))
+	revision := int64(1)
+	for i := range removalsMost + 2 {
+		name := "lost"
+		if i > 0 {
+			name = fmt.Sprint(i)
+			revision++
+			source.Apply(Changes{Revision: revision, Items: []Item{item(name, revision)}})
+		}
+		revision++
+		source.Apply(Changes{Revision: revision, Items: []Item{{Name: name, Revision: revision, Deleted: true}}})
+	}
+	c := source.Since(follower.Revision())
+	require.True(t, c.Whole)
+	follower.Apply(c)
+	require.Equal(t, []string{"kept"}, names(follower))
+}
+
+// order returns the hosts as Choose ranks them.
+func order(n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprintf("h%d", i))
+	}
+	return rendezvous.Top(watchName, all, n)
+}
+
+// Guards against a region in which nobody or everybody asks the store.
+func TestOneWatcherPerRegion(t *testing.T) {
+	hosts := order(8)
+	watching := map[string]bool{}
+	for range 3 { // rounds of beacons
+		next := map[string]bool{}
+		for _, self := range hosts {
+			var others []Copy
+			for _, h := range hosts {
+				if h != self {
+					others = append(others, Copy{Host: h, Watching: watching[h], Age: 100 * time.Millisecond})
+				}
+			}
+			next[self] = Choose(self, watching[self], 100*time.Millisecond, others).Watch
+		}
+		watching = next
+	}
+	for i, h := range hosts {
+		require.Equal(t, i == 0, watching[h], h)
+	}
+}
+
+// Guards against a watcher that lost the store and is followed all the same,
+// and against a whole region that asks at once.
+func TestTakeOverInTurn(t *testing.T) {
+	hosts := order(8)
+	first := Copy{Host: hosts[0], Watching: true, Age: StaleAfter}
+	role := func(self string, age time.Duration) Role {
+		others := []Copy{first}
+		for _, h := range hosts[1:] {
+			if h != self {
+				others = append(others, Copy{Host: h, Age: age})
+			}
+		}
+		return Choose(self, false, age, others)
+	}
+	require.True(t, role(hosts[1], StaleAfter).Watch)
+	require.False(t, role(hosts[2], StaleAfter).Watch)
+	require.True(t, role(hosts[2], StaleAfter+turn).Watch)
+	require.False(t, role(hosts[7], StaleAfter+turn).Watch)
+	require.True(t, role(hosts[7], StaleAfter+turnsMost*turn).Watch)
+	// Once the second one has an up to date copy, the others follow it, until
+	// the first one has one again.
+	second := Copy{Host: hosts[1], Watching: true, Age: 0}
+	require.Equal(t, Role{Follow: hosts[1]}, Choose(hosts[3], false, 3*time.Second, []Copy{first, second}))
+	first.Age = 0
+	require.Equal(t, Role{Follow: hosts[0]}, Choose(hosts[1], true, 0, []Copy{first}))
+}
+
+// Guards against following a host that only follows another: a circle would
+// never learn anything.
+func TestFollowersAreNotFollowed(t *testing.T) {
+	hosts := order(3)
+	require.Equal(t, Role{}, Choose(hosts[1], false, 0, []Copy{{Host: hosts[0], Age: 0}, {Host: hosts[2], Age: 0}}))
+}
--- /dev/null
+++ b/pkg/core/placing/placing_test.go
@@ -0,0 +1,255 @@
+package placing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func domainRegion(domain string) string { return domain[:1] }
+
+// newPool returns a pool with n servers of 4 slots in each of the regions a and
+// b.
+func newPool(n int) (*Pool, []fleet.Server) {
+	var list []fleet.Server
+	for _, region := range []string{"a", "b"} {
+		for i := range n {
+			list = append(list, fleet.Server{
+				ID: fmt.Sprintf("%s%d", region, i), Address: fmt.Sprintf("10.0.%s.%d:80", region, i), Pool: "p",
+				Domain: fmt.Sprintf("%s-%d", region, i%2), Slots: 4, Born: 1,
+			})
+		}
+	}
+	p := New("a")
+	p.Update(start, list, 4, domainRegion)
+	return p, list
+}
+
+func need(key string) Need {
+	return Need{Key: key, Route: "r", Target: 200 * time.Millisecond, Left: time.Second}
+}
+
+// Guards against a server that gets requests although it leaves, is evacuated,
+// was tried before or is in a region that may not run them.
+func TestUnusableServers(t *testing.T) {
+	p, list := newPool(2)
+	now := start
+	n := need("k")
+	n.Exclude = []string{"a0"}
+	require.Equal(t, "a1", p.Pick(now, n).Server.ID)
+	n.Regions = []string{"b"}
+	require.Equal(t, "b", p.Pick(now, n).Server.ID[:1])
+	n.Regions = []string{"c"}
+	require.Equal(t, NoServer, p.Pick(now, n).Verdict)
+
+	list[0].Draining = true
+	p.Update(now, list, 4, domainRegion)
+	for i := range 20 {
+		require.Equal(t, "a1", p.Pick(now, need(fmt.Sprint(i))).Server.ID)
+	}
+	p.Evacuated = func(domain string) bool { return domain == "a-1" }
+	for i := range 20 {
+		require.Equal(t, "b", p.Pick(now, need(fmt.Sprint(i))).Server.ID[:1])
+	}
+	_, ok := p.Server(now, "a1")
+	require.False(t, ok, "a grant for an evacuated server is not used")
+}
+
+// Guards against requests to a server that cannot be reached, and against
+// leaving it out for good.
+func TestUnreachableServerRests(t *testing.T) {
+	p, _ := newPool(1)
+	now := start
+	n := need("k")
+	c := p.Pick(now, n)
+	require.Equal(t, "a0", c.Server.ID)
+	p.Started(now, c, n)
+	p.Finished(now, c, n, Unreachable, 0)
+	require.Equal(t, "b0", p.Pick(now, n).Server.ID)
+	now = now.Add(restFirst)
+	c = p.Pick(now, n)
+	require.Equal(t, "a0", c.Server.ID)
+	p.Started(now, c, n)
+	require.Equal(t, "b0", p.Pick(now, n).Server.ID, "one request tries it")
+	p.Finished(now, c, n, Unreachable, 0)
+	require.Equal(t, "b0", p.Pick(now.Add(restFirst), n).Server.ID, "the rest grows")
+	now = now.Add(2 * restFirst)
+	c = p.Pick(now, n)
+	p.Started(now, c, n)
+	p.Finished(now, c, n, Answered, 50*time.Millisecond)
+	require.Equal(t, "a0", p.Pick(now, n).Server.ID)
+	require.Equal(t, "a0", p.Pick(now, n).Server.ID)
+}
+
+// Guards against a restarted server that keeps the counts of the process before
+// it, and against ends of old requests that are taken for new ones.
+func TestRestartedServerStartsAnew(t *testing.T) {
+	p, list := newPool(1)
+	n := need("k")
+	old := p.Pick(start, n)
+	for range 3 {
+		p.Started(start, old, n)
+	}
+	list[0].Born = 2
+	p.Update(start, list, 4, domainRegion)
+	c := p.Pick(start, n)
+	require.Zero(t, c.Load)
+	p.Started(start, c, n)
+	p.Finished(start, old, n, Failed, 0)
+	require.Equal(t, 1.0, p.Pick(start, n).Load)
+}
+
+// Guards against overrunning a cold server: the platform allows 1.5 x the rate
+// and 5 requests in any second.
+func TestColdServersGetTheirRate(t *testing.T) {
+	p, list := newPool(1)
+	list[0].ColdUntil = start.Add(10 * time.Second)
+	p.Update(start, list, 4, domainRegion)
+	var sent []time.Time
+	for ms := range 8000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		n := need("k")
+		c := p.Pick(now, n)
+		p.Started(now, c, n)
+		p.Finished(now, c, n, Answered, 10*time.Millisecond)
+		if c.Server.ID == "a0" {
+			sent = append(sent, now)
+		}
+	}
+	require.Greater(t, len(sent), 20, "a cold server gets what it bears")
+	for i := range sent {
+		inSecond := 0
+		for _, at := range sent[i:] {
+			if at.Sub(sent[i]) < time.Second {
+				inSecond++
+			}
+		}
+		require.LessOrEqual(t, inSecond, 7, "half of the second's bound of 11, as two hosts may take it for theirs")
+	}
+	p.OwnsCold = func(fleet.Server) bool { return false }
+	require.Equal(t, "b0", p.Pick(start, need("k")).Server.ID)
+}
+
+// Guards against a server that fails fast and thereby looks idle.
+func TestFailingServerLosesRequests(t *testing.T) {
+	p, _ := newPool(2)
+	now := start
+	sent := map[string]int{}
+	for i := range 400 {
+		now = now.Add(10 * time.Millisecond)
+		n := need(fmt.Sprint(i % 40))
+		c := p.Pick(now, n)
+		p.Started(now, c, n)
+		o := Answered
+		if c.Server.ID == "a0" {
+			o = Failed
+		}
+		p.Finished(now, c, n, o, 50*time.Millisecond)
+		sent[c.Server.ID]++
+	}
+	require.Less(t, sent["a0"], 40)
+	require.Greater(t, sent["a1"], 300)
+}
+
+// Guards against rejecting a route for good because its first guess of the
+// service time is above its timeout.
+func TestRouteWithoutAnswersIsTried(t *testing.T) {
+	p, _ := newPool(1)
+	n := Need{Key: "k", Route: "new", Target: 3 * time.Second, Left: 3 * time.Second}
+	require.Equal(t, Send, p.Pick(start, n).Verdict)
+	for range learnedLeast {
+		c := p.Pick(start, n)
+		p.Started(start, c, n)
+		p.Finished(start, c, n, Answered, 5500*time.Millisecond)
+	}
+	n.Key = "other"
+	require.Equal(t, Send, p.Pick(start, n).Verdict, "one class of objects tells nothing about another")
+}
+
+// Guards against a request that cannot be answered in time and takes a slot all
+// the same.
+func TestTooLateIsRejected(t *testing.T) {
+	p, _ := newPool(1)
+	n := need("k")
+	for range learnedLeast + 1 {
+		c := p.Pick(start, n)
+		p.Started(start, c, n)
+		p.Finished(start, c, n, Answered, 150*time.Millisecond)
+	}
+	n.Left = 50 * time.Millisecond
+	require.Equal(t, TooLate, p.Pick(start, n).Verdict)
+	n.Left = 120 * time.Millisecond
+	require.Equal(t, Send, p.Pick(start, n).Verdict, "service times vary")
+}
+
+// Guards against servers that join and get nothing, because the others know the
+// objects already.
+func TestJoinedServersGetRequests(t *testing.T) {
+	p, list := newPool(4)
+	now := start
+	play := func(steps int) map[string]int {
+		sent := map[string]int{}
+		for i := range steps {
+			now = now.Add(20 * time.Millisecond)
+			n := need(fmt.Sprint(i % 40))
+			p.Request(now, n)
+			c := p.Pick(now, n)
+			p.Started(now, c, n)
+			p.Finished(now, c, n, Answered, 50*time.Millisecond)
+			sent[c.Server.ID]++
+		}
+		return sent
+	}
+	play(400)
+	list = append(list, fleet.Server{ID: "a9", Address: "10.0.9.9:80", Pool: "p", Domain: "a-0", Slots: 4, Born: 1})
+	p.Update(now, list, 4, domainRegion)
+	require.Positive(t, play(200)["a9"], "within 4 s")
+}
+
+// Guards against weights that are met on average only: each target is never
+// more than one request behind.
+func TestSplitKeepsWeights(t *testing.T) {
+	targets := []fleet.Target{{Pool: "x", Weight: 90}, {Pool: "y", Weight: 10}, {Pool: "z", Weight: 0}}
+	for _, at := range []float64{0, 0.3, 0.99} {
+		var s Split
+		counts := map[string]int{}
+		for i := 1; i <= 1000; i++ {
+			counts[s.Next(targets, at)]++
+			require.InDelta(t, 0.9*float64(i), counts["x"], 1.5)
+		}
+		require.Zero(t, counts["z"])
+	}
+}
+
+// Guards against counting other hosts' requests twice or not at all.
+func TestPeerLoads(t *testing.T) {
+	p, _ := newPool(1)
+	p.PeerLoad("h1", map[string]int{"a0": 2})
+	p.PeerLoad("h2", map[string]int{"a0": 1, "gone": 5})
+	require.Equal(t, 3.0, p.Pick(start, need("k")).Load)
+	p.PeerLoad("h1", nil)
+	require.Equal(t, 1.0, p.Pick(start, need("k")).Load)
+}
+
+// Guards against sending to another region's servers as if they were idle, and
+// against believing an old report.
+func TestReportsOfOtherRegions(t *testing.T) {
+	p, _ := newPool(1)
+	other := New("b")
+	_, list := newPool(1)
+	other.Update(start, list, 4, domainRegion)
+	n := need("k")
+	n.Regions = []string{"a"}
+	c := other.Pick(start, n)
+	other.Started(start, c, n)
+	p.Told(start, "b", other.Report(start))
+	n.Regions = nil
+	require.Equal(t, 1.0, p.Pick(start, n).Load, "the other region's request is counted")
+	require.Zero(t, p.Pick(start.Add(2*time.Second), n).Load)
+}
--- /dev/null
+++ b/pkg/core/registry/registry_test.go
@@ -0,0 +1,77 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func servers(ids ...int) []fleet.Server {
+	var out []fleet.Server
+	for _, i := range ids {
+		out = append(out, fleet.Server{ID: fmt.Sprint(i), Pool: "p", Address: fmt.Sprintf("10.0.0.%d:80", i)})
+	}
+	return out
+}
+
+func known(r *Registry) int { n, _ := r.Counts(); return n }
+
+// Guards against sending to a server after the store no longer lists it.
+func TestVanishedServerLeavesAtOnce(t *testing.T) {
+	r := New()
+	r.Set(start, servers(1, 2, 3, 4))
+	r.Set(start.Add(10*time.Second), servers(1, 2, 3))
+	require.Equal(t, 3, known(r))
+}
+
+// Guards against losing a whole pool because its entries lapsed while the store
+// was away, and against keeping servers that do not come back.
+func TestEntriesLapseDuringAnOutage(t *testing.T) {
+	r := New()
+	r.Set(start, servers(1, 2, 3, 4))
+	r.Observe(start.Add(3*time.Second), 3*time.Second)
+	returned := start.Add(8 * time.Second)
+	r.Set(returned, nil)
+	require.Equal(t, 4, known(r))
+	r.Set(returned.Add(time.Second), servers(1, 2))
+	require.False(t, r.Expire(returned.Add(1900*time.Millisecond)))
+	require.Equal(t, 4, known(r))
+	require.True(t, r.Expire(returned.Add(2*time.Second)))
+	require.Equal(t, 2, known(r))
+}
+
+// Guards against an outage that is too short to be noticed: servers that vanish
+// together are given time, but less than the drain bound of 2.5 s.
+func TestManyServersVanishTogether(t *testing.T) {
+	r := New()
+	r.Set(start, servers(1, 2, 3, 4, 5, 6))
+	at := start.Add(10 * time.Second)
+	r.Set(at, servers(1, 2))
+	require.Equal(t, 6, known(r))
+	r.Expire(at.Add(2400 * time.Millisecond))
+	require.Equal(t, 2, known(r))
+}
+
+// Guards against keeping a server that announced its leave, or whose address
+// another server has, because the store was away.
+func TestLeavingAndReplacedServersDoNotLapse(t *testing.T) {
+	r := New()
+	list := servers(1, 2, 3, 4)
+	list[0].Draining = true
+	r.Set(start, list)
+	r.Observe(start.Add(3*time.Second), 3*time.Second)
+	other := servers(9)
+	other[0].Address = list[1].Address
+	r.Set(start.Add(5*time.Second), other)
+	got := map[string]bool{}
+	for _, s := range r.Servers()["p"] {
+		got[s.ID] = true
+	}
+	require.Equal(t, map[string]bool{"3": true, "4": true, "9": true}, got)
+}
