--- a/pkg/cli/steer.go
+++ b/pkg/cli/steer.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -29,6 +31,8 @@
 			}
 			logger := newLogger(cmd.OutOrStdout(), cfg.Log.Level)
 			host := steer.New(cfg, platform.Names(), platform.NewSource(cfg.Platform.Address, logger), logger)
+			stop := reloadOnHangup(host, file)
+			defer stop()
 			if err := host.Start(); err != nil {
 				return err
 			}
@@ -39,3 +43,23 @@
 	c.Flags().StringVar(&env, "settings-env", "", "environment variable that holds the path of the settings file")
 	return c
 }
+
+// reloadOnHangup reads the settings again on each SIGHUP until stop is called.
+func reloadOnHangup(host *steer.Host, file string) (stop func()) {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP)
+	go func() {
+		for range received {
+			cfg, err := steer.LoadSettings(file)
+			if err != nil {
+				host.ReloadFailed(err)
+				continue
+			}
+			host.Reload(cfg)
+		}
+	}()
+	return func() {
+		signal.Stop(received)
+		close(received)
+	}
+}
--- a/pkg/steer/apply.go
+++ b/pkg/steer/apply.go
@@ -96,6 +96,6 @@
 	return h.pools[name]
 }
 
-func (h *Host) regionOf(domain string) string { return h.cfg.Regions[domain] }
+func (h *Host) regionOf(domain string) string { return h.cfg().Regions[domain] }
 
 func (h *Host) isEvacuated(domain string) bool { return (*h.evacuated.Load())[domain] }
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -9,6 +9,7 @@
 	stderrors "errors"
 	"net"
 	"net/http"
+	"reflect"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -41,12 +42,13 @@
 // Host is one entry host. Create it with New, run it with Start and end it
 // with Shutdown or Stop.
 type Host struct {
-	cfg    *Settings
-	names  Names
-	source Source
-	log    *eventLog
-	self   fleet.EntryHost
-	region string
+	// settings are replaced by Reload; cfg returns them.
+	settings atomic.Pointer[Settings]
+	names    Names
+	source   Source
+	log      *eventLog
+	self     fleet.EntryHost
+	region   string
 
 	tomb    tomb.Tomb
 	servers []*http.Server
@@ -78,7 +80,7 @@
 // New returns a host that is not running yet.
 func New(cfg *Settings, names Names, source Source, logger *log.Logger) *Host {
 	h := &Host{
-		cfg: cfg, names: names, source: source, log: newEventLog(logger, cfg.Log.Rate), region: cfg.Region(),
+		names: names, source: source, log: newEventLog(logger, cfg.Log.Rate), region: cfg.Region(),
 		self: fleet.EntryHost{
 			Name: cfg.Name, Domain: cfg.Domain, Region: cfg.Region(), Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer, Control: cfg.Listen.Control,
 			Started: time.Now().UnixMilli(),
@@ -86,6 +88,7 @@
 		follow: newFollower(), registry: registry.New(), pools: map[string]*pool{},
 		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}),
 	}
+	h.settings.Store(cfg)
 	h.self.Capacity = cfg.Limits.CPUShare * cfg.Limits.Cores
 	h.peers = newPeers(h.self)
 	h.dispatch = newDispatch(h.self.Started)
@@ -95,6 +98,24 @@
 	return h
 }
 
+// cfg returns the settings in force.
+func (h *Host) cfg() *Settings { return h.settings.Load() }
+
+// Reload puts new settings in force. Name, failure domain and listeners stay as
+// they were until a restart.
+func (h *Host) Reload(s *Settings) {
+	old := h.cfg()
+	next := *s
+	next.Name, next.Domain, next.Listen, next.Platform = old.Name, old.Domain, old.Listen, old.Platform
+	if next.Regions[next.Domain] != old.Regions[old.Domain] {
+		next.Regions = old.Regions
+	}
+	h.settings.Store(&next)
+	h.log.setRate(next.Log)
+	h.log.reloaded(h, s.Name != old.Name || s.Domain != old.Domain || !reflect.DeepEqual(s.Listen, old.Listen) || s.Platform != old.Platform)
+	h.updatePools()
+}
+
 // Start opens the listeners and begins to serve. The error is a *result.Error
 // with code ListenFailed.
 func (h *Host) Start() error {
@@ -103,17 +124,17 @@
 		field, address string
 		handler        http.Handler
 	}{
-		{"listen.caller", h.cfg.Listen.Caller, http.HandlerFunc(h.serveRequest)},
-		{"listen.ready", h.cfg.Listen.Ready, h.readyHandler()},
-		{"listen.lookup", h.cfg.Listen.Lookup, h.lookupHandler()},
-		{"listen.control", h.cfg.Listen.Control, h.controlHandler()},
-		{"listen.metrics", h.cfg.Listen.Metrics, h.metricsHandler()},
+		{"listen.caller", h.cfg().Listen.Caller, http.HandlerFunc(h.serveRequest)},
+		{"listen.ready", h.cfg().Listen.Ready, h.readyHandler()},
+		{"listen.lookup", h.cfg().Listen.Lookup, h.lookupHandler()},
+		{"listen.control", h.cfg().Listen.Control, h.controlHandler()},
+		{"listen.metrics", h.cfg().Listen.Metrics, h.metricsHandler()},
 	} {
 		if err := h.serve(l.field, l.address, l.handler); err != nil {
 			return err
 		}
 	}
-	conn, err := net.ListenPacket("udp4", h.cfg.Listen.Peer)
+	conn, err := net.ListenPacket("udp4", h.cfg().Listen.Peer)
 	if err != nil {
 		return result.Wrap(err, result.ListenFailed, "listen.peer")
 	}
@@ -187,7 +208,7 @@
 	began := time.Now()
 	h.leaving.Store(true)
 	h.log.leaving(h)
-	grace := h.cfg.Bounds.Grace.Std() - exitMargin
+	grace := h.cfg().Bounds.Grace.Std() - exitMargin
 	for time.Since(began) < grace {
 		if time.Since(began) > withdrawTime && h.held.Load() == 0 {
 			break
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -37,13 +37,28 @@
 
 func (l *eventLog) start(h *Host) {
 	l.Info().Str("host", h.self.Name).Str("domain", h.self.Domain).Str("region", h.region).Int64("started", h.self.Started).
-		Str("caller", h.cfg.Listen.Caller).Msg("entry host started")
+		Str("caller", h.cfg().Listen.Caller).Msg("entry host started")
 }
 
 func (l *eventLog) stop(h *Host) {
 	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Msg("entry host stopped")
 }
 
+func (l *eventLog) reloaded(h *Host, restart bool) {
+	l.Info().Str("host", h.self.Name).Bool("restart_needed", restart).Msg("settings reloaded")
+}
+
+// ReloadFailed records that new settings could not be read; the old ones stay.
+func (h *Host) ReloadFailed(err error) {
+	h.log.Error().Err(err).Msg("settings could not be reloaded, the old ones stay in force")
+}
+
+func (l *eventLog) setRate(c Log) {
+	l.limit.SetLimit(rate.Limit(c.Rate))
+	l.limit.SetBurst(c.Rate)
+	l.SetLevel(log.ParseLevel(c.Level))
+}
+
 func (l *eventLog) leaving(h *Host) {
 	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Msg("entry host is leaving")
 }
--- a/pkg/steer/lookup.go
+++ b/pkg/steer/lookup.go
@@ -40,7 +40,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		life := min(lookupLife, h.cfg.Bounds.LookupLife.Std())
+		life := min(lookupLife, h.cfg().Bounds.LookupLife.Std())
 		// An error means that the caller left; there is nobody to tell.
 		_ = json.NewEncoder(w).Encode(lookupAnswer{addresses, life.String()})
 	})
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -42,7 +42,7 @@
 	p := &pool{
 		h: h, name: name, place: placing.NewDispatcher(decisions), waiters: map[placing.Ref]func(placing.Placement){}, own: map[uint64]ownFlight{},
 	}
-	b := h.cfg.Bounds
+	b := h.cfg().Bounds
 	p.repeats = retry.NewShare(b.RetryRatio, float64(b.RetryExtra))
 	// One host of a region sends to its cold servers, so that their sum stays
 	// within what they bear.
