--- /dev/null
+++ b/pkg/steer/host_test.go
@@ -0,0 +1,601 @@
+package steer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
+	"github.com/tamarackswitch/tamarackswitch/pkg/units"
+)
+
+// patience is a safety net for slow machines; no verdict depends on its length.
+const patience = 20 * time.Second
+
+// memorySource is a Source without a wire.
+type memorySource struct {
+	mu       sync.Mutex
+	revision int64
+	logs     [feed.Kinds]*feed.Log
+	hosts    map[string]fleet.EntryHost
+	changed  chan struct{}
+	down     bool
+	calls    atomic.Int64
+}
+
+func newSource() *memorySource {
+	s := &memorySource{revision: 1, hosts: map[string]fleet.EntryHost{}, changed: make(chan struct{})}
+	for k := range s.logs {
+		s.logs[k] = feed.NewLog()
+		s.logs[k].Apply(feed.Changes{Revision: 1, Whole: true})
+	}
+	return s
+}
+
+func (s *memorySource) put(kind feed.Kind, item feed.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item.Revision = s.revision
+	s.logs[kind].Apply(feed.Changes{Revision: s.revision, Items: []feed.Item{item}})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memorySource) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memorySource) read(kind feed.Kind, after int64) (feed.Changes, chan struct{}, error) {
+	s.calls.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return feed.Changes{}, nil, io.ErrUnexpectedEOF
+	}
+	c := s.logs[kind].Since(after)
+	c.Revision = s.revision
+	return c, s.changed, nil
+}
+
+func (s *memorySource) List(_ context.Context, kind feed.Kind) (feed.Changes, error) {
+	c, _, err := s.read(kind, 0)
+	return c, err
+}
+
+func (s *memorySource) Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Changes, error) {
+	deadline := time.After(wait)
+	for {
+		c, changed, err := s.read(kind, after)
+		if err != nil || len(c.Items) > 0 {
+			return c, err
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return c, nil
+		case <-ctx.Done():
+			return c, ctx.Err()
+		}
+	}
+}
+
+func (s *memorySource) Register(_ context.Context, h fleet.EntryHost) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts[h.Name] = h
+	return nil
+}
+
+func (s *memorySource) Unregister(context.Context, string) error { return nil }
+
+func (s *memorySource) Hosts(context.Context) ([]fleet.EntryHost, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []fleet.EntryHost
+	for _, h := range s.hosts {
+		out = append(out, h)
+	}
+	return out, nil
+}
+
+var testNames = Names{
+	LookupPath: "/lookup", ReadyPath: "/ready",
+	Headers: forward.Headers{RequestID: "Req-Id", Deadline: "Left-Ms", NotRun: "Not-Run", ExpectServer: "Expect-Server"},
+	Stamp:   "Stamp", ServerID: "Server-Id", ServerLoad: "Load", ColdFor: "Cold-Ms",
+	AffinityKey: func(r *http.Request) string { return r.Header.Get("Key") },
+}
+
+// testServer is a backend server whose answers a test chooses.
+type testServer struct {
+	id     string
+	url    string
+	mu     sync.Mutex
+	ids    []string // requests that ran
+	answer http.HandlerFunc
+}
+
+func newTestServer(t *testing.T, id string, answer http.HandlerFunc) *testServer {
+	t.Helper()
+	s := &testServer{id: id, answer: answer}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Expect-Server") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		s.mu.Lock()
+		s.ids = append(s.ids, r.Header.Get("Req-Id"))
+		s.mu.Unlock()
+		w.Header().Set("Req-Id", r.Header.Get("Req-Id"))
+		w.Header().Set("Stamp", "stamp-"+id)
+		w.Header().Set("Load", "1,0,4")
+		s.answer(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	s.url = strings.TrimPrefix(srv.URL, "http://")
+	return s
+}
+
+func (s *testServer) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ids)
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func broken(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+func failing(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+
+func hanging(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startHost(t *testing.T, source Source, name, domain string) *Host {
+	t.Helper()
+	cfg := &Settings{
+		Name: name, Domain: domain, Regions: map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"},
+		Listen: Listen{
+			Caller: freeAddress(t), Ready: freeAddress(t), Lookup: freeAddress(t), Control: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t),
+		},
+		Limits: Limits{CPUShare: 1, Cores: 1},
+		Bounds: Bounds{
+			Grace: units.Duration(6 * time.Second), LookupLife: units.Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100,
+			RetryWindow: units.Duration(10 * time.Second),
+		},
+		Log: Log{Level: "warn", Rate: 100},
+	}
+	h := New(cfg, testNames, source, &log.Logger{Level: log.WarnLevel, Writer: log.IOWriter{Writer: io.Discard}})
+	require.NoError(t, h.Start())
+	t.Cleanup(func() { _ = h.Stop() })
+	return h
+}
+
+func putTable(s *memorySource, version int64) {
+	route := fleet.Route{
+		Name: "safe", Host: "a.example", Prefix: "/safe/", Targets: []fleet.Target{{Pool: "p", Weight: 1}}, Idempotent: true,
+		Timeout: 2 * time.Second, TargetLatency: 200 * time.Millisecond, MaxAttempts: 2, Sticky: true,
+	}
+	once := route
+	once.Name, once.Prefix, once.Idempotent = "once", "/once/", false
+	short := route
+	short.Name, short.Prefix, short.Timeout = "short", "/short/", 300*time.Millisecond
+	s.put(feed.Tables, feed.Item{Name: "main", Table: &fleet.Table{
+		Version: version, Routes: []fleet.Route{route, once, short}, Pools: []fleet.Pool{{Name: "p", ColdRate: 5}},
+	}})
+}
+
+func putServer(s *memorySource, server *testServer, domain string) {
+	s.put(feed.Servers, feed.Item{Name: server.id, Server: &fleet.Server{
+		ID: server.id, Pool: "p", Address: server.url, Domain: domain, Slots: 4, Born: 1,
+	}})
+}
+
+// lab is one host with its servers.
+func lab(t *testing.T, answers map[string]http.HandlerFunc) (*Host, map[string]*testServer, *memorySource) {
+	t.Helper()
+	source := newSource()
+	putTable(source, 3)
+	servers := map[string]*testServer{}
+	for id, answer := range answers {
+		servers[id] = newTestServer(t, id, answer)
+		putServer(source, servers[id], "a-1")
+	}
+	h := startHost(t, source, "h1", "a-1")
+	ready(t, h, len(answers))
+	return h, servers, source
+}
+
+func ready(t *testing.T, h *Host, servers int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return h.ready() && h.Dump().Servers["p"] == servers && h.dispatches("p") }, patience, 5*time.Millisecond)
+}
+
+func get(t *testing.T, h *Host, method, path string, header ...string) (int, http.Header, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+h.self.Caller+path, nil)
+	require.NoError(t, err)
+	req.Host = "a.example"
+	req.Header.Set("Req-Id", fmt.Sprint(time.Now().UnixNano()))
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, resp.Header, string(body)
+}
+
+// Guards against an answer that loses the server's body or stamp.
+func TestAnswerIsPassedOn(t *testing.T) {
+	h, servers, _ := lab(t, map[string]http.HandlerFunc{"s1": ok})
+	status, header, body := get(t, h, "GET", "/safe/x")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "stamp-s1", header.Get("Stamp"))
+	require.Equal(t, "answer", body)
+	require.Equal(t, 1, servers["s1"].count())
+}
+
+// Guards against refusals that are wrong or promise what is not true.
+func TestRefusals(t *testing.T) {
+	for name, tc := range map[string]struct {
+		method, path string
+		answer       http.HandlerFunc
+		header       []string
+		status       int
+		code         int
+		run          string
+		returns      bool
+	}{
+		"no route":              {"GET", "/other", ok, nil, 404, 1001, "not-run", false},
+		"bad deadline":          {"GET", "/safe/", ok, []string{"Left-Ms", "soon"}, 400, 1004, "not-run", false},
+		"all shed":              {"GET", "/safe/", shed, nil, 503, 3005, "not-run", true},
+		"once, shed":            {"POST", "/once/", shed, nil, 503, 3005, "not-run", true},
+		"once, connection lost": {"POST", "/once/", broken, nil, 502, 3002, "unknown", false},
+		"once, no answer":       {"POST", "/once/", hanging, []string{"Left-Ms", "200"}, 504, 3004, "unknown", false},
+		"timeout of the route":  {"GET", "/short/", hanging, nil, 504, 3004, "unknown", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": tc.answer})
+			status, header, body := get(t, h, tc.method, tc.path, tc.header...)
+			require.Equal(t, tc.status, status, body)
+			var got struct {
+				Code int    `json:"code"`
+				Run  string `json:"run"`
+			}
+			require.NoError(t, json.Unmarshal([]byte(body), &got))
+			require.Equal(t, tc.code, got.Code, body)
+			require.Equal(t, tc.run, got.Run)
+			require.Equal(t, tc.returns, header.Get("Retry-After") != "")
+		})
+	}
+}
+
+// Guards against a server's own answer that looks like a promise that a request
+// was not run, although it ran.
+func TestFailureOfTheServerIsPassedOn(t *testing.T) {
+	h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": failing})
+	status, header, _ := get(t, h, "POST", "/once/x")
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Equal(t, "stamp-s1", header.Get("Stamp"))
+}
+
+// Guards against running a request twice that may run once, and against giving
+// up on one that may be repeated.
+func TestRepeats(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path   string
+		bad    http.HandlerFunc
+		served bool
+	}{
+		"safe, shed":             {"/safe/", shed, true},
+		"safe, failure":          {"/safe/", failing, true},
+		"safe, connection lost":  {"/safe/", broken, true},
+		"once, shed":             {"/once/", shed, true},
+		"once, failure":          {"/once/", failing, false},
+		"once, connection lost":  {"/once/", broken, false},
+		"safe, wrong server":     {"/safe/", nil, true},
+		"once, wrong server":     {"/once/", nil, true},
+		"safe, server not there": {"/safe/", nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bad := tc.bad
+			if bad == nil {
+				bad = ok
+			}
+			h, servers, source := lab(t, map[string]http.HandlerFunc{"s1": ok, "s2": bad})
+			switch {
+			case strings.HasSuffix(name, "wrong server"):
+				source.put(feed.Servers, feed.Item{Name: "s2", Server: &fleet.Server{
+					ID: "other", Pool: "p", Address: servers["s2"].url, Domain: "a-1", Slots: 4, Born: 2,
+				}})
+			case strings.HasSuffix(name, "not there"):
+				source.put(feed.Servers, feed.Item{Name: "s2", Server: &fleet.Server{
+					ID: "s2", Pool: "p", Address: freeAddress(t), Domain: "a-1", Slots: 4, Born: 2,
+				}})
+			}
+			served := 0
+			for i := range 40 {
+				status, _, _ := get(t, h, "POST", tc.path, "Key", fmt.Sprint(i))
+				if status == http.StatusOK {
+					served++
+				}
+			}
+			if tc.served {
+				require.Equal(t, 40, served)
+			} else {
+				require.Less(t, served, 40)
+			}
+			ids := map[string]int{}
+			for _, s := range servers {
+				for _, id := range s.ids {
+					ids[id]++
+				}
+			}
+			if !tc.served {
+				for id, n := range ids {
+					require.Equal(t, 1, n, id)
+				}
+			}
+		})
+	}
+}
+
+// Guards against work that goes on for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	}})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+h.self.Caller+"/safe/", nil)
+	require.NoError(t, err)
+	req.Host = "a.example"
+	_, err = http.DefaultTransport.RoundTrip(req)
+	require.Error(t, err)
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the server goes on working")
+	}
+	require.Eventually(t, func() bool { return len(h.Dump().Loads) == 0 }, patience, 5*time.Millisecond)
+}
+
+// Guards against a version that goes back, a host that is ready without tables,
+// and a table that is lost in an outage.
+func TestTablesInForce(t *testing.T) {
+	source := newSource()
+	server := newTestServer(t, "s1", ok)
+	putServer(source, server, "a-1")
+	h := startHost(t, source, "h1", "a-1")
+	status, _, _ := get(t, h, "GET", "/safe/")
+	require.Equal(t, http.StatusServiceUnavailable, status, "a host without tables promises that nothing ran")
+	require.False(t, h.ready())
+	putTable(source, 5)
+	ready(t, h, 1)
+	source.setDown(true)
+	status, _, _ = get(t, h, "GET", "/safe/")
+	require.Equal(t, http.StatusOK, status)
+	source.setDown(false)
+	putTable(source, 4)
+	putTable(source, 6)
+	require.Eventually(t, func() bool { return h.Dump().TableVersion == 6 }, patience, 5*time.Millisecond)
+	h.applyTable(&fleet.Table{Version: 5})
+	require.Equal(t, int64(6), h.Dump().TableVersion)
+}
+
+// Guards against look-ups that name hosts which leave or are gone, and against a
+// shutdown that cuts a request.
+func TestShutdown(t *testing.T) {
+	release := make(chan struct{})
+	source := newSource()
+	putTable(source, 1)
+	putServer(source, newTestServer(t, "s1", func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		ok(w, r)
+	}), "a-1")
+	h1, h2 := startHost(t, source, "h1", "a-1"), startHost(t, source, "h2", "a-1")
+	both := func() bool { return len(h1.lookup("a-1")) == 2 && len(h2.lookup("a-1")) == 2 }
+	require.Eventually(t, both, patience, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return h1.Dump().Servers["p"] == 1 && h2.Dump().Servers["p"] == 1 }, patience, 5*time.Millisecond)
+
+	answers := make(chan int, 1)
+	go func() {
+		status, _, _ := get(t, h1, "GET", "/safe/")
+		answers <- status
+	}()
+	require.Eventually(t, func() bool { return h1.held.Load() == 1 }, patience, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- h1.Shutdown(context.Background()) }()
+	require.Eventually(t, func() bool { return len(h2.lookup("a-1")) == 1 }, patience, 5*time.Millisecond)
+	require.False(t, h1.ready())
+	close(release)
+	require.Equal(t, http.StatusOK, <-answers)
+	require.NoError(t, <-stopped)
+	require.Equal(t, []string{h2.self.Caller}, h2.lookup("a-1"))
+}
+
+// Guards against hosts that each take the same free slot, and against requests
+// that fail because the dispatcher has died.
+func TestDispatcher(t *testing.T) {
+	source := newSource()
+	putTable(source, 1)
+	var running, most atomic.Int64
+	putServer(source, newTestServer(t, "s1", func(w http.ResponseWriter, r *http.Request) {
+		n := running.Add(1)
+		defer running.Add(-1)
+		for {
+			m := most.Load()
+			if n <= m || most.CompareAndSwap(m, n) {
+				break
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+		ok(w, r)
+	}), "a-1")
+	hosts := map[string]*Host{}
+	for i := range 4 {
+		name := fmt.Sprintf("h%d", i)
+		hosts[name] = startHost(t, source, name, "a-1")
+	}
+	agreed := func() bool {
+		for _, h := range hosts {
+			if h.Dump().Servers["p"] != 1 || len(h.view.Load().hosts) != len(hosts)-1 || h.view.Load().dispatchers["p"] != hosts["h0"].view.Load().dispatchers["p"] {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, agreed, patience, 5*time.Millisecond)
+	play := func() (served, rejected int) {
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for _, h := range hosts {
+			for range 8 {
+				wg.Go(func() {
+					status, _, _ := get(t, h, "GET", "/safe/")
+					mu.Lock()
+					defer mu.Unlock()
+					if status == http.StatusOK {
+						served++
+					} else {
+						rejected++
+					}
+				})
+			}
+		}
+		wg.Wait()
+		return served, rejected
+	}
+	served, rejected := play()
+	require.Equal(t, 32, served+rejected)
+	require.GreaterOrEqual(t, served, 4)
+	// The server has 4 slots and a short queue; 32 requests come at once.
+	require.LessOrEqual(t, most.Load(), int64(7))
+	require.Eventually(t, func() bool {
+		for _, h := range hosts {
+			if len(h.Dump().Loads) != 0 {
+				return false
+			}
+		}
+		return true
+	}, patience, 5*time.Millisecond)
+
+	dead := hosts[hosts["h0"].view.Load().dispatchers["p"]]
+	delete(hosts, dead.self.Name)
+	require.NoError(t, dead.Stop())
+	served, _ = play()
+	require.Positive(t, served, "before its death is noticed")
+	for _, h := range hosts {
+		require.Eventually(t, func() bool {
+			d := h.view.Load().dispatchers["p"]
+			return d != "" && d != dead.self.Name
+		}, patience, 5*time.Millisecond)
+	}
+	served, _ = play()
+	require.Positive(t, served)
+}
+
+// Guards against a region whose hosts all ask the store.
+func TestOneHostAsksTheStore(t *testing.T) {
+	source := newSource()
+	putTable(source, 1)
+	var hosts []*Host
+	for i := range 4 {
+		hosts = append(hosts, startHost(t, source, fmt.Sprintf("h%d", i), "a-1"))
+	}
+	watchers := func() int {
+		n := 0
+		for _, h := range hosts {
+			h.follow.mu.Lock()
+			if h.follow.role.Watch {
+				n++
+			}
+			h.follow.mu.Unlock()
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return watchers() == 1 }, patience, 5*time.Millisecond)
+	putTable(source, 2)
+	for _, h := range hosts {
+		require.Eventually(t, func() bool { return h.Dump().TableVersion == 2 }, patience, 5*time.Millisecond)
+	}
+	// The watcher dies: another host takes over.
+	for i, h := range hosts {
+		h.follow.mu.Lock()
+		watches := h.follow.role.Watch
+		h.follow.mu.Unlock()
+		if watches {
+			require.NoError(t, h.Stop())
+			hosts = append(hosts[:i], hosts[i+1:]...)
+			break
+		}
+	}
+	putTable(source, 3)
+	for _, h := range hosts {
+		require.Eventually(t, func() bool { return h.Dump().TableVersion == 3 }, patience, 5*time.Millisecond)
+	}
+}
+
+// Guards against new settings that change what a running process cannot change.
+func TestReload(t *testing.T) {
+	h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": ok})
+	next := *h.cfg()
+	next.Name, next.Bounds.Grace = "other", units.Duration(9*time.Second)
+	h.Reload(&next)
+	require.Equal(t, "h1", h.cfg().Name)
+	require.Equal(t, 9*time.Second, h.cfg().Bounds.Grace.Std())
+	status, _, _ := get(t, h, "GET", "/safe/")
+	require.Equal(t, http.StatusOK, status)
+}
+
+// Guards against statuses that promise that a request was not run, although
+// nobody knows.
+func TestMalformedLoadIsIgnored(t *testing.T) {
+	for _, text := range []string{"", "1", "a,b,c", "1,x,3"} {
+		_, _, ok := parseLoad(text)
+		require.False(t, ok, text)
+	}
+	running, waiting, ok := parseLoad("3, 2,8")
+	require.True(t, ok)
+	require.Equal(t, []int{3, 2}, []int{running, waiting})
+	require.Equal(t, placing.Answered, placing.Outcome(0))
+}
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -156,30 +156,31 @@
 // not run it, or failed and the request may run again.
 func (h *Host) send(x *exchange) (*forward.Answer, *result.Error) {
 	x.pool.countRequest(x.need, h.peers.count())
+	var last *result.Error // of the send before
 	for {
 		got, err := h.acquire(x.in.Context(), x.pool, x.need, x.deadline, x.attempts == 0)
 		x.waited += got.waited
 		if err != nil {
-			return nil, x.withEarlier(err)
+			return nil, x.final(err, last)
 		}
 		x.placed = got
 		answer, err := h.attempt(x)
 		if err == nil && !h.repeatable(x, answer) {
 			return answer, nil
 		}
-		again := h.mayRepeat(x, err)
-		if err == nil {
-			if !again {
+		if !h.mayRepeat(x, err) {
+			if err == nil {
 				return answer, nil
 			}
-			answer.Close()
-			x.failed = true
+			return nil, x.final(err, nil)
 		}
-		if !again {
-			return nil, x.withEarlier(err)
+		if err == nil {
+			err = result.New(result.BadAnswer, "server %s answered with status %d", got.choice.Server.ID, answer.Status).WithRun(result.Run)
+			answer.Close()
 		}
-		x.failed = x.failed || err != nil && err.Run != result.NotRun
+		x.failed = x.failed || err.Run != result.NotRun
 		x.need.Exclude = append(x.need.Exclude, got.choice.Server.ID)
+		last = err
 	}
 }
 
@@ -266,10 +267,17 @@
 	return placing.Failed
 }
 
-// withEarlier makes an error say what earlier attempts did.
-func (x *exchange) withEarlier(err *result.Error) *result.Error {
+// final returns the error for the caller: that of the last send, if the request
+// could not be placed again, with a run state that covers all sends.
+func (x *exchange) final(err, last *result.Error) *result.Error {
+	if last != nil && err.Code != result.CallerGone {
+		err = last
+	}
 	if x.failed && err.Run == result.NotRun {
-		return err.WithRun(result.Unknown)
+		err = err.WithRun(result.Unknown)
+	}
+	if err.Run == result.NotRun && err.RetryAfter == 0 {
+		err = err.WithRetryAfter(returnAfter(x.route.TargetLatency))
 	}
 	return err
 }
