--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -10,6 +10,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 	"github.com/tamarackswitch/tamarackswitch/pkg/settings"
+	"github.com/tamarackswitch/tamarackswitch/pkg/steer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/tables"
 )
 
@@ -36,6 +37,8 @@
 var (
 	routeHeader = regexp.MustCompile(`(?m)^\s*\[\[route\]\]`)
 	poolHeader  = regexp.MustCompile(`(?m)^\s*\[\[pool\]\]`)
+	// steerHeader is in the settings of the steer command only.
+	steerHeader = regexp.MustCompile(`(?m)^\s*\[regions\]`)
 )
 
 // checked holds what the files contain; nil if no file of the kind was given.
@@ -60,6 +63,9 @@
 		t, err := tables.ParsePools(file, text)
 		c.pools = &t
 		return "pools", err
+	case steerHeader.Match(text):
+		_, err := steer.ParseSettings(file, text)
+		return "steer settings", err
 	case len(bytes.TrimSpace(text)) == 0:
 		return "", result.New(result.SettingsInvalid, "%s: the file is empty", file)
 	}
--- /dev/null
+++ b/pkg/steer/page_test.go
@@ -0,0 +1,172 @@
+package steer
+
+import (
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+)
+
+const validSettings = `
+name = "h1"
+domain = "a-1"
+[regions]
+"a-1" = "a"
+[listen]
+caller = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+lookup = "127.0.0.1:3"
+control = "127.0.0.1:4"
+peer = "127.0.0.1:5"
+metrics = "127.0.0.1:6"
+seeds = ["127.0.0.1:7"]
+[platform]
+address = "127.0.0.1:8"
+[limits]
+cpu_share = 0.5
+cores = 1
+[bounds]
+grace = "6s"
+lookup_life = "5s"
+retry_ratio = 0.2
+retry_extra = 133
+retry_window = "10s"
+[log]
+level = "info"
+rate = 100
+`
+
+// Guards against settings that are accepted although they are wrong, and errors
+// that do not name the field.
+func TestSettingsErrors(t *testing.T) {
+	_, err := ParseSettings("s.toml", []byte(validSettings))
+	require.NoError(t, err)
+	for _, tc := range [][3]string{
+		{`name = "h1"`, ``, "name: is missing"},
+		{`domain = "a-1"`, `domain = "b"`, `domain: "b" has no region`},
+		{`"127.0.0.1:1"`, `"localhost:1"`, `listen.caller: "localhost:1" is not an IP number and port`},
+		{`["127.0.0.1:7"]`, `["x"]`, `listen.seeds: "x"`},
+		{`cpu_share = 0.5`, `cpu_share = 2`, "limits.cpu_share"},
+		{`cores = 1`, `cores = 0`, "limits.cores"},
+		{`grace = "6s"`, `grace = "0s"`, "bounds.grace"},
+		{`grace = "6s"`, `grace = 6`, "bounds.grace: must be at least 1ms, with a unit"},
+		{`lookup_life = "5s"`, ``, "bounds.lookup_life"},
+		{`retry_ratio = 0.2`, `retry_ratio = 2`, "bounds.retry_ratio"},
+		{`retry_extra = 133`, `retry_extra = -1`, "bounds.retry_extra"},
+		{`retry_window = "10s"`, ``, "bounds.retry_window"},
+		{`level = "info"`, `level = "loud"`, `log.level: "loud"`},
+		{`rate = 100`, `rate = 0`, "log.rate"},
+		{`rate = 100`, `speed = 1`, "line"},
+	} {
+		text := strings.Replace(validSettings, tc[0], tc[1], 1)
+		require.NotEqual(t, validSettings, text, tc[0])
+		_, err := ParseSettings("s.toml", []byte(text))
+		require.ErrorContains(t, err, tc[2], text)
+		require.ErrorContains(t, err, "s.toml")
+	}
+}
+
+var settingsRow = regexp.MustCompile("(?m)^\\| `([a-z.]+[a-z_]*)` \\| (?:text|table|address|addresses|number|duration) \\| ([^|]+) \\| [^|]{10,} \\|$")
+
+// keys collects the toml keys of a settings type.
+func keys(prefix string, t reflect.Type) (out []string) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := prefix + f.Tag.Get("toml")
+		if f.Type.Kind() == reflect.Struct {
+			out = append(out, keys(name+".", f.Type)...)
+		} else {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Guards against a key or a default that docs/steer.md lacks or has wrong.
+func TestSettingsPage(t *testing.T) {
+	text, err := os.ReadFile("../../docs/steer.md")
+	require.NoError(t, err)
+	var listed []string
+	defaults := map[string]string{}
+	for _, m := range settingsRow.FindAllStringSubmatch(string(text), -1) {
+		listed = append(listed, m[1])
+		defaults[m[1]] = strings.Trim(m[2], "`")
+	}
+	require.Equal(t, keys("", reflect.TypeFor[Settings]()), listed)
+	for key, want := range defaults {
+		section, name, dotted := strings.Cut(key, ".")
+		if !dotted {
+			name = key
+		}
+		line := regexp.MustCompile(`(?m)^"?` + name + `"? = .*$`)
+		if key == "regions" {
+			line = regexp.MustCompile(`(?m)^"a-1" = .*$`)
+		}
+		require.Len(t, line.FindAllString(validSettings, -1), 1, section)
+		s, err := ParseSettings("s.toml", []byte(line.ReplaceAllString(validSettings, "")))
+		switch want {
+		case "required":
+			require.Error(t, err, key)
+		case "none":
+			require.NoError(t, err, key)
+		default:
+			require.NoError(t, err, key)
+			require.Contains(t, []string{s.Log.Level, "100"}, want, key)
+		}
+	}
+}
+
+var metricRow = regexp.MustCompile("(?m)^\\| `(tamarackswitch_steer_[a-z_]+)` \\| (\\w+) \\|([^|]*)\\| ([^|]+) \\|$")
+
+// Guards against a metric that docs/steer.md lacks or describes otherwise.
+func TestMetricsPage(t *testing.T) {
+	text, err := os.ReadFile("../../docs/steer.md")
+	require.NoError(t, err)
+	type row struct{ labels, help string }
+	page := map[string]row{}
+	for _, m := range metricRow.FindAllStringSubmatch(string(text), -1) {
+		page[m[1]] = row{strings.NewReplacer("`", "", " ", "").Replace(m[3]), m[4]}
+	}
+	s, err := ParseSettings("s.toml", []byte(validSettings))
+	require.NoError(t, err)
+	h := New(s, testNames, newSource(), &log.Logger{})
+	descs := make(chan *prometheus.Desc, 100)
+	h.metrics.registry.Describe(descs)
+	close(descs)
+	pattern := regexp.MustCompile(`fqName: "([^"]+)", help: "([^"]+)", .*variableLabels: \{([^}]*)\}`)
+	want := map[string]row{}
+	for d := range descs {
+		m := pattern.FindStringSubmatch(d.String())
+		require.NotNil(t, m, d.String())
+		labels := strings.Split(m[3], ",")
+		slices.Sort(labels)
+		want[m[1]] = row{strings.Join(labels, ","), m[2]}
+	}
+	require.Equal(t, want, page)
+}
+
+// Guards against a template that the settings reader does not accept.
+func TestDeployTemplate(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/entry.toml.tmpl")
+	require.NoError(t, err)
+	filled := string(text)
+	for placeholder, value := range map[string]string{
+		"node": "h1", "zone": "a-1", "listen.front": "127.0.0.1:1", "listen.ready": "127.0.0.1:2", "listen.directory": "127.0.0.1:3",
+		"listen.control": "127.0.0.1:4", "ip": "127.0.0.1", "internalPorts.0": "7200", "platform.address": "127.0.0.1:8", "bounds.grace": "6s",
+		"bounds.ttl_max": "5s", "bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetExtra": "133", "bounds.budgetWindow": "10s",
+		"limits.cpuShare": "0.224", "limits.cores": "1", "@": "a-1", ".": "a", ",": "",
+	} {
+		filled = strings.ReplaceAll(filled, "{{"+placeholder+"}}", value)
+	}
+	filled = regexp.MustCompile(`\{\{[#/][a-z]+\}\}`).ReplaceAllString(filled, "")
+	filled = strings.Replace(filled, `seeds = ["a"]`, `seeds = ["127.0.0.1:7"]`, 1)
+	s, err := ParseSettings("entry.toml", []byte(filled))
+	require.NoError(t, err, filled)
+	require.Equal(t, "a", s.Region())
+}
--- a/pkg/steer/settings.go
+++ b/pkg/steer/settings.go
@@ -5,6 +5,8 @@
 	stderrors "errors"
 	"net/netip"
 	"os"
+	"slices"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -81,7 +83,11 @@
 	Rate int `toml:"rate"`
 }
 
-const defaultLogRate = 100
+// Defaults of optional settings.
+const (
+	defaultLogLevel = "info"
+	defaultLogRate  = 100
+)
 
 // LoadSettings reads and checks a settings file. The error is a *result.Error
 // with code SettingsInvalid and names file, line and field.
@@ -90,7 +96,13 @@
 	if err != nil {
 		return nil, result.Wrap(err, result.SettingsInvalid, "settings file")
 	}
-	s := &Settings{Log: Log{Level: "info", Rate: defaultLogRate}}
+	return ParseSettings(file, raw)
+}
+
+// ParseSettings reads and checks the text of a settings file; file is its name
+// in errors.
+func ParseSettings(file string, raw []byte) (*Settings, error) {
+	s := &Settings{Log: Log{Level: defaultLogLevel, Rate: defaultLogRate}}
 	d := toml.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(s); err != nil {
@@ -142,25 +154,33 @@
 		}
 	}
 	switch b := s.Bounds; {
-	case b.Grace <= 0:
-		return bad("bounds.grace", "must be positive")
-	case b.LookupLife <= 0:
-		return bad("bounds.lookup_life", "must be positive")
+	case b.Grace < leastDuration:
+		return bad("bounds.grace", "must be at least %s, with a unit", leastDuration)
+	case b.LookupLife < leastDuration:
+		return bad("bounds.lookup_life", "must be at least %s, with a unit", leastDuration)
 	case b.RetryRatio < 0 || b.RetryRatio > 1:
 		return bad("bounds.retry_ratio", "%v is not between 0 and 1", b.RetryRatio)
 	case b.RetryExtra < 0:
 		return bad("bounds.retry_extra", "is negative")
-	case b.RetryWindow <= 0:
-		return bad("bounds.retry_window", "must be positive")
+	case b.RetryWindow < leastDuration:
+		return bad("bounds.retry_window", "must be at least %s, with a unit", leastDuration)
 	case s.Limits.CPUShare <= 0 || s.Limits.CPUShare > 1:
 		return bad("limits.cpu_share", "%v is not above 0 and at most 1", s.Limits.CPUShare)
 	case s.Limits.Cores <= 0:
 		return bad("limits.cores", "must be positive")
+	case !slices.Contains(logLevels, s.Log.Level):
+		return bad("log.level", "%q is not one of %v", s.Log.Level, logLevels)
 	case s.Log.Rate <= 0:
 		return bad("log.rate", "must be positive")
 	}
 	return nil
 }
 
+// leastDuration is below any useful bound; a number without a unit counts
+// nanoseconds and is found by it.
+const leastDuration = units.Duration(time.Millisecond)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 // Region returns the region of this host.
 func (s *Settings) Region() string { return s.Regions[s.Domain] }
