--- a/pkg/core/rendezvous/rendezvous.go
+++ b/pkg/core/rendezvous/rendezvous.go
@@ -81,3 +81,18 @@
 
 // leastCapacity keeps a host without capacity from dividing by zero.
 const leastCapacity = 1e-6
+
+// Strong returns the hosts with at least share of the largest capacity.
+func Strong(hosts []Choice, share float64) []Choice {
+	most := 0.0
+	for _, h := range hosts {
+		most = max(most, h.Capacity)
+	}
+	out := make([]Choice, 0, len(hosts))
+	for _, h := range hosts {
+		if h.Capacity >= share*most {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/pkg/steer/dispatch.go
+++ b/pkg/steer/dispatch.go
@@ -22,6 +22,9 @@
 	// grantSlack is how long after the hold of a queued request its grant is
 	// awaited.
 	grantSlack = 60 * time.Millisecond
+	// dispatcherShare is the share of the region's largest host that a host must
+	// have in processor time to dispatch: small hosts answer too late.
+	dispatcherShare = 0.5
 	// tripTime is how long a dispatcher that did not answer is left out.
 	tripTime = 300 * time.Millisecond
 	// doneRepeats is how many times the end of a request is told.
@@ -57,6 +60,7 @@
 	for _, host := range v.hosts {
 		choices = append(choices, rendezvous.Choice{Host: host.Name, Capacity: host.Capacity})
 	}
+	choices = rendezvous.Strong(choices, dispatcherShare)
 	old := h.view.Load()
 	h.eachPool(func(p *pool) {
 		d := rendezvous.PickWeighted(p.name, choices)
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -17,10 +17,14 @@
 
 // Times and sizes of the messages between entry hosts.
 const (
-	// beaconEvery is the interval of the beacons to hosts of the same failure
-	// domain, beaconFar of those to the other domains of the region.
-	beaconEvery = 60 * time.Millisecond
-	beaconFar   = 120 * time.Millisecond
+	// beaconEvery is the shortest interval of the beacons to hosts of the same
+	// failure domain, beaconFar of those to the other domains of the region. They
+	// grow with the number of hosts, so that a host's cost does not, up to
+	// beaconMost, of which peerLife holds three.
+	beaconEvery   = 60 * time.Millisecond
+	beaconFar     = 120 * time.Millisecond
+	beaconPerHost = 10 * time.Millisecond
+	beaconMost    = 350 * time.Millisecond
 	// peerLife is the time without a beacon after which a host counts as gone.
 	peerLife    = 1200 * time.Millisecond
 	maxDatagram = 1400 // bytes, one packet
@@ -145,6 +149,7 @@
 	}
 	var out []netip.AddrPort
 	for _, list := range regions {
+		list = rendezvous.Strong(list, dispatcherShare)
 		for range min(n, len(list)) {
 			first := rendezvous.PickWeighted(pool, list)
 			out = append(out, p.hosts[first].addr)
@@ -195,15 +200,23 @@
 		return udp.Close()
 	})
 	h.tomb.Go(func() error { return h.hearDatagrams(udp) })
+	var near, far time.Time
 	h.every(beaconEvery, func(now time.Time) {
 		h.updateView(now)
-		h.sendBeacons(h.peers.targets(now, true))
+		pause := time.Duration(h.view.Load().region) * beaconPerHost
+		if now.Sub(near) >= min(max(pause, beaconEvery), beaconMost)-beaconEvery/2 {
+			near = now
+			h.sendBeacons(h.peers.targets(now, true))
+		}
+		if now.Sub(far) >= min(max(pause, beaconFar), beaconMost)-beaconEvery/2 {
+			far = now
+			h.sendBeacons(h.peers.targets(now, false))
+		}
 		for _, name := range h.peers.silent(now, beaconEvery) {
 			h.log.peerLost(name)
 			h.eachPool(func(p *pool) { p.forget(now, name) })
 		}
 	})
-	h.every(beaconFar, func(now time.Time) { h.sendBeacons(h.peers.targets(now, false)) })
 	h.every(reportEvery, h.sendReports)
 	h.every(expireEvery, h.expireFlights)
 	h.every(stateEvery, h.logPools)
