Spend less time per placement in large pools

The first server of a key is remembered until the servers change, the load of all servers is summed up every 20 ms instead of at each request, and fewer waiting requests are looked at when one ends.

--- a/pkg/core/placing/dispatcher.go
+++ b/pkg/core/placing/dispatcher.go
@@ -15,7 +15,7 @@
 	waitingMost = 256
 	// wakeTries bounds the waiting requests that are looked at when a slot may
 	// have come free, the most urgent first.
-	wakeTries = 12
+	wakeTries = 6
 	// drainHalf is the time in which past ends of waits lose half of their weight,
 	// and drainLeast the time for which requests must have waited without a pause
 	// before they tell how fast the line moves.
--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -108,7 +108,8 @@
 type Pool struct {
 	region   string
 	servers  map[string]*server
-	order    []*server // the usable candidates, by region
+	order    []*server // all that are not gone
+	firsts   map[firstKey]*server
 	services map[string]*[classes]estimate
 	means    map[string]*estimate // over all classes, by route
 	peers    map[string]map[string]int
@@ -126,6 +127,7 @@
 	// although it does not know the object.
 	adopt     float64
 	exploreAt time.Time
+	pressedAt time.Time
 	// room is set while few slots of the own region are taken.
 	room     bool
 	coldRate float64
@@ -142,7 +144,7 @@
 // New returns a pool without servers for a host in region.
 func New(region string) *Pool {
 	return &Pool{
-		region: region, servers: map[string]*server{}, services: map[string]*[classes]estimate{}, means: map[string]*estimate{}, peers: map[string]map[string]int{}, regions: map[string]regionLoad{},
+		region: region, servers: map[string]*server{}, services: map[string]*[classes]estimate{}, means: map[string]*estimate{}, firsts: map[firstKey]*server{}, peers: map[string]map[string]int{}, regions: map[string]regionLoad{},
 		OwnsCold: func(fleet.Server) bool { return true }, Evacuated: func(string) bool { return false },
 		Hosts: func() int { return 1 },
 	}
@@ -177,6 +179,7 @@
 		}
 		s.Server, s.region, s.gone = f, regionOf(f.Domain), false
 	}
+	clear(p.firsts) // it depends on the servers
 	p.order = p.order[:0]
 	for id, s := range p.servers {
 		if !seen[id] {
@@ -356,11 +359,17 @@
 	p.adopt = min(p.adopt+adoptShare, adoptBurst)
 	p.demand.add(now, n, service)
 	p.share.Request(now, n, service)
-	local, known := p.pressure(now)
-	p.share.Update(now, local, p.remotePressure(now), known)
-	p.room = known && local < roomPressure
+	if now.Sub(p.pressedAt) >= pressureEvery {
+		p.pressedAt = now
+		local, known := p.pressure(now)
+		p.share.Update(now, local, p.remotePressure(now), known)
+		p.room = known && local < roomPressure
+	}
 }
 
+// pressureEvery is the interval at which the load of all servers is summed up.
+const pressureEvery = 20 * time.Millisecond
+
 func (p *Pool) decide(n Need, c *candidate, remote bool) Choice {
 	choice := Choice{
 		Server: c.Server, Remote: remote, Expected: seconds(c.wait + c.service), Load: c.load,
@@ -461,9 +470,22 @@
 	return l.limit
 }
 
+// firstsMost bounds the remembered first servers.
+const firstsMost = 8192
+
+// firstKey names a key inside or outside the own region.
+type firstKey struct {
+	key   string
+	local bool
+}
+
 // preferred returns the first server of the key, whether usable or not at this
 // moment, so that a short failure does not move other keys.
 func (p *Pool) preferred(n Need, local bool) *server {
+	known, ok := p.firsts[firstKey{n.Key, local}]
+	if ok {
+		return known
+	}
 	var first *server
 	var most uint64
 	for _, s := range p.order {
@@ -474,6 +496,10 @@
 			first, most = s, w
 		}
 	}
+	if len(p.firsts) >= firstsMost {
+		clear(p.firsts)
+	}
+	p.firsts[firstKey{n.Key, local}] = first
 	return first
 }
 
