--- a/pkg/core/placing/lab_test.go
+++ b/pkg/core/placing/lab_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 )
 
@@ -372,16 +371,3 @@
 	}
 	return worst
 }
-
-// keysOf returns the keys that belong to each server of a region's pool.
-func keysOf(p *Pool, keys int) map[string]int {
-	var names []string
-	for _, s := range p.order {
-		names = append(names, s.ID)
-	}
-	out := map[string]int{}
-	for k := range keys {
-		out[rendezvous.Pick(fmt.Sprint(k), names)]++
-	}
-	return out
-}
