--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -116,6 +116,10 @@
 
 var testNames = Names{
 	LookupPath: "/lookup", ReadyPath: "/ready",
+	LookupDomain: func(r *http.Request) string { return r.URL.Query().Get("domain") },
+	LookupAnswer: func(addresses []string, life time.Duration) any {
+		return map[string]any{"hosts": addresses, "life": life.Seconds()}
+	},
 	Headers:     forward.Headers{RequestID: "Req-Id", Deadline: "Left-Ms", NotRun: "Not-Run", ExpectServer: "Expect-Server"},
 	ServerLoad:  "Load",
 	AffinityKey: func(r *http.Request) string { return r.Header.Get("Key") },
@@ -597,3 +601,31 @@
 	require.Equal(t, []int{3, 2}, []int{running, waiting})
 	require.Equal(t, placing.Answered, placing.Outcome(0))
 }
+
+// Guards against look-ups that name hosts of another failure domain although the
+// caller's has enough, and against none at all if it has not.
+func TestLookups(t *testing.T) {
+	host := func(name, domain string) fleet.EntryHost {
+		return fleet.EntryHost{Name: name, Domain: domain, Caller: name}
+	}
+	hosts := []fleet.EntryHost{host("1", "a-1"), host("2", "a-1"), host("3", "a-2")}
+	require.ElementsMatch(t, []string{"1", "2"}, chooseHosts(hosts, "a-1"))
+	require.ElementsMatch(t, []string{"1", "2", "3"}, chooseHosts(hosts, "a-2"), "one host is not enough")
+	require.ElementsMatch(t, []string{"1", "2", "3"}, chooseHosts(hosts, "b-1"), "callers of a region that has no host")
+	for i := range 100 {
+		hosts = append(hosts, host(fmt.Sprint(10+i), "a-1"))
+	}
+	require.Len(t, chooseHosts(hosts, "a-1"), lookupMost)
+
+	h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": ok})
+	resp, err := http.Get("http://" + h.cfg().Listen.Lookup + "/lookup?domain=a-1")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var got struct {
+		Hosts []string `json:"hosts"`
+		Life  float64  `json:"life"`
+	}
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&got))
+	require.Equal(t, []string{h.self.Caller}, got.Hosts)
+	require.InDelta(t, 2, got.Life, 0.1)
+}
--- a/pkg/steer/lookup.go
+++ b/pkg/steer/lookup.go
@@ -23,18 +23,11 @@
 	lookupMost  = 64
 )
 
-// lookupAnswer is the wire form of a look-up answer.
-type lookupAnswer struct {
-	Addresses []string `json:"addresses"`
-	Life      string   `json:"ttl"`
-}
-
 // lookupHandler answers callers that ask for entry hosts.
 func (h *Host) lookupHandler() http.Handler {
 	r := bunrouter.New()
 	r.Compat().GET(h.names.LookupPath, func(w http.ResponseWriter, req *http.Request) {
-		query := req.URL.Query()
-		addresses := h.lookup(query.Get("zone"))
+		addresses := h.lookup(h.names.LookupDomain(req))
 		if len(addresses) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -42,7 +35,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		life := min(lookupLife, h.cfg().Bounds.LookupLife.Std())
 		// An error means that the caller left; there is nobody to tell.
-		_ = json.NewEncoder(w).Encode(lookupAnswer{addresses, life.String()})
+		_ = json.NewEncoder(w).Encode(h.names.LookupAnswer(addresses, life))
 	})
 	return r
 }
--- a/pkg/steer/names.go
+++ b/pkg/steer/names.go
@@ -14,8 +14,12 @@
 
 // Names are the paths and header names of a deployment's wire protocol.
 type Names struct {
-	// LookupPath answers callers that ask for entry hosts.
-	LookupPath string
+	// LookupPath answers callers that ask for entry hosts. LookupDomain returns
+	// the failure domain of the caller, and LookupAnswer the body, encoded as
+	// JSON, that names hosts by address and how long the answer may be kept.
+	LookupPath   string
+	LookupDomain func(*http.Request) string
+	LookupAnswer func(addresses []string, life time.Duration) any
 	// ReadyPath answers whether this host takes callers.
 	ReadyPath string
 	Headers   forward.Headers
