--- a/pkg/core/feed/feed_test.go
+++ b/pkg/core/feed/feed_test.go
@@ -149,14 +149,32 @@
 	// Once the second one has an up to date copy, the others follow it, until
 	// the first one has one again.
 	second := Copy{Host: hosts[1], Watching: true, Age: 0}
-	require.Equal(t, Role{Follow: hosts[1]}, Choose(hosts[3], false, 3*time.Second, []Copy{first, second}))
+	require.Equal(t, Role{Follow: hosts[1], Rank: 2}, Choose(hosts[3], false, 3*time.Second, []Copy{first, second}))
 	first.Age = 0
-	require.Equal(t, Role{Follow: hosts[0]}, Choose(hosts[1], true, 0, []Copy{first}))
+	require.Equal(t, Role{Follow: hosts[0], Rank: 1}, Choose(hosts[1], true, 0, []Copy{first}))
 }
 
 // Guards against following a host that only follows another: a circle would
 // never learn anything.
 func TestFollowersAreNotFollowed(t *testing.T) {
 	hosts := order(3)
-	require.Equal(t, Role{}, Choose(hosts[1], false, 0, []Copy{{Host: hosts[0], Age: 0}, {Host: hosts[2], Age: 0}}))
+	require.Equal(t, Role{Rank: 1}, Choose(hosts[1], false, 0, []Copy{{Host: hosts[0], Age: 0}, {Host: hosts[2], Age: 0}}))
+}
+
+// Guards against a whole region that asks a store which is away as often as its
+// first hosts.
+func TestFailingStoreIsAskedLessOften(t *testing.T) {
+	hosts := order(8)
+	for i, self := range hosts {
+		var others []Copy
+		for _, h := range hosts {
+			if h != self {
+				others = append(others, Copy{Host: h, Watching: true, Age: time.Minute})
+			}
+		}
+		r := Choose(self, true, time.Minute, others)
+		require.True(t, r.Watch)
+		require.Equal(t, i, r.Rank)
+		require.Equal(t, i < 2, r.RetryMost() <= time.Second, "host %d", i)
+	}
 }
--- a/pkg/core/feed/watchers.go
+++ b/pkg/core/feed/watchers.go
@@ -20,6 +20,10 @@
 	turn = 200 * time.Millisecond
 	// turnsMost bounds the turns that the last host of a large region waits.
 	turnsMost = 8
+	// firstRanks is the number of hosts that ask a failing store often.
+	firstRanks      = 2
+	retryFirstRanks = time.Second
+	retryOtherRanks = 4 * time.Second
 	// watchName is the key by which the hosts of a region are ordered.
 	watchName = "watch"
 )
@@ -38,6 +42,18 @@
 	Watch bool
 	// Follow is the host whose copy is taken instead, if any.
 	Follow string
+	// Rank is the place of this host in the order of its region, 0 for the first.
+	Rank int
+}
+
+// RetryMost is the longest pause between calls of a watcher to a store that
+// fails. The first hosts of a region ask often; the others only make sure that
+// a store which turns the first ones away is found.
+func (r Role) RetryMost() time.Duration {
+	if r.Rank < firstRanks {
+		return retryFirstRanks
+	}
+	return retryOtherRanks
 }
 
 // Choose decides whether self asks the store or follows another host of its
@@ -55,17 +71,17 @@
 	mine := slices.Index(order, self)
 	for _, name := range order[:mine] {
 		if fresh[name] {
-			return Role{Follow: name}
+			return Role{Follow: name, Rank: mine}
 		}
 	}
 	if mine == 0 || watching {
-		return Role{Watch: true}
+		return Role{Watch: true, Rank: mine}
 	}
 	// A host behind in the order has taken over.
 	for _, name := range order[mine+1:] {
 		if fresh[name] {
-			return Role{Follow: name}
+			return Role{Follow: name, Rank: mine}
 		}
 	}
-	return Role{Watch: age >= StaleAfter+time.Duration(min(mine-1, turnsMost))*turn}
+	return Role{Rank: mine, Watch: age >= StaleAfter+time.Duration(min(mine-1, turnsMost))*turn}
 }
--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -21,9 +21,9 @@
 // Times and sizes of following the store.
 const (
 	roleTick = 100 * time.Millisecond
-	// retryFirst and retryMost bound the pause after a failed call to the store.
+	// retryFirst is the first pause after a failed call to the store; the role
+	// bounds the later ones.
 	retryFirst = 100 * time.Millisecond
-	retryMost  = time.Second
 	// fetchTimeout bounds the transfer of changes from another host of the
 	// region.
 	fetchTimeout = 800 * time.Millisecond
@@ -98,7 +98,7 @@
 		f.cancel()
 	}
 	f.mu.Unlock()
-	if role != old {
+	if role.Watch != old.Watch || role.Follow != old.Follow {
 		h.log.role(role)
 	}
 	if role.Follow != "" {
@@ -134,7 +134,7 @@
 			if !sleep(ctx, pause/2+rand.N(pause)) {
 				return
 			}
-			pause = min(2*pause, retryMost)
+			pause = min(2*pause, h.follow.retryMost())
 			continue
 		}
 		pause, whole = retryFirst, false
@@ -206,6 +206,12 @@
 	return f.role.Follow == host
 }
 
+func (f *follower) retryMost() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.role.RetryMost()
+}
+
 func (f *follower) revision(kind feed.Kind) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
