--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -21,6 +21,9 @@
 // Times and sizes of following the store.
 const (
 	roleTick = 100 * time.Millisecond
+	// eventPause is the time between a change and the next watch, so that changes
+	// in quick succession cost one call; it delays them by as much.
+	eventPause = 150 * time.Millisecond
 	// retryFirst is the first pause after a failed call to the store; the role
 	// bounds the later ones.
 	retryFirst = 100 * time.Millisecond
@@ -140,6 +143,9 @@
 		pause, whole = retryFirst, false
 		h.storeAnswered(kind)
 		h.take(kind, changes, complete)
+		if len(changes.Items) > 0 && !sleep(ctx, eventPause) {
+			return
+		}
 	}
 }
 
