--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-.PHONY: build test race lint fmt demo measure bench ci
+.PHONY: build test race lint fmt demo measure bench soak ci
 
 build:
 	go build -o bin/tamarackswitch ./cmd/tamarackswitch
 
 test:
-	go test ./...
+	bash .ci/test
 
 race:
 	go test -race -short ./pkg/...
@@ -25,5 +25,8 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+soak:
+	SOAK_SEEDS=1-50 SOAK_SECONDS=6 go test ./test/soak -run TestSoak -v
+
 ci:
 	bash .ci/run
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/entry"
 	"github.com/tamarackswitch/tamarackswitch/pkg/platform"
 	"github.com/tamarackswitch/tamarackswitch/pkg/platform/memstore"
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 	"github.com/tamarackswitch/tamarackswitch/pkg/settings"
 )
 
@@ -174,3 +176,43 @@
   b-2: routes 0, pools 0 from peer, unconfirmed for 20ms, 0 requests
 `, out.String())
 }
+
+const steerText = `name = "h1"
+domain = "a-1"
+[regions]
+"a-1" = "a"
+[listen]
+caller = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+lookup = "127.0.0.1:3"
+control = "127.0.0.1:4"
+peer = "127.0.0.1:5"
+metrics = "127.0.0.1:6"
+[platform]
+address = "127.0.0.1:8"
+[limits]
+cpu_share = 0.5
+cores = 1.0
+[bounds]
+grace = "6s"
+lookup_life = "5s"
+retry_window = "10s"
+`
+
+// Guards against settings of steer that check accepts and the daemon refuses,
+// or the other way round.
+func TestCheckSteerSettings(t *testing.T) {
+	file := write(t, "steer.toml", steerText)
+	status, out, _ := run("check", file)
+	require.Zero(t, status)
+	require.Equal(t, file+": steer settings ok\n", out)
+	file = write(t, "steer.toml", strings.Replace(steerText, `"6s"`, `"0s"`, 1))
+	for _, args := range [][]string{{"check", file}, {"steer", "--settings", file}} {
+		status, _, errs := run(args...)
+		require.Equal(t, result.SettingsInvalid.ExitStatus(), status)
+		require.Contains(t, errs, "steer.toml: bounds.grace: must be at least 1ms, with a unit")
+	}
+	status, _, errs := run("steer")
+	require.Equal(t, result.Usage.ExitStatus(), status)
+	require.Contains(t, errs, "--settings or --settings-env")
+}
