Do not pass on a promise that a server did not make

A server's own 503, 429, 421 or 408 without its mark says that it ran the request, but callers read these statuses as a promise that it did not. A request that may run once gets 502 then. Found by reading; the test fails without the change.

--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -168,6 +168,8 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+func unmarked(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+
 func broken(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
 
 func failing(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
@@ -289,6 +291,7 @@
 		"once, shed":            {"POST", "/once/", shed, nil, 503, 3005, "not-run", true},
 		"once, connection lost": {"POST", "/once/", broken, nil, 502, 3002, "unknown", false},
 		"once, no answer":       {"POST", "/once/", hanging, []string{"Left-Ms", "200"}, 504, 3004, "unknown", false},
+		"once, 503 after a run": {"POST", "/once/", unmarked, nil, 502, 3007, "run", false},
 		"timeout of the route":  {"GET", "/short/", hanging, nil, 504, 3004, "unknown", false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/steer/reply.go
+++ b/pkg/steer/reply.go
@@ -43,19 +43,25 @@
 	_ = json.NewEncoder(x.w).Encode(body)
 }
 
-// statusOf returns the HTTP status for err. Statuses 408, 421, 429 and 503
-// promise that the request was not run, so only such errors get them.
-func statusOf(err *result.Error) int {
-	status := err.Code.HTTPStatus()
+// promisesNotRun reports whether a status tells callers that the request was not
+// run.
+func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		if err.Run != result.NotRun {
-			return http.StatusBadGateway
-		}
-	case http.StatusBadGateway, http.StatusGatewayTimeout:
-		if err.Run == result.NotRun {
-			return http.StatusServiceUnavailable
-		}
+		return true
+	}
+	return false
+}
+
+// statusOf returns the HTTP status for err. Only errors of requests that were
+// not run get a status that promises it.
+func statusOf(err *result.Error) int {
+	status := err.Code.HTTPStatus()
+	switch {
+	case promisesNotRun(status) && err.Run != result.NotRun:
+		return http.StatusBadGateway
+	case (status == http.StatusBadGateway || status == http.StatusGatewayTimeout) && err.Run == result.NotRun:
+		return http.StatusServiceUnavailable
 	}
 	return status
 }
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -165,6 +165,12 @@
 		}
 		x.placed = got
 		answer, err := h.attempt(x)
+		if err == nil && !x.route.Idempotent && promisesNotRun(answer.Status) {
+			// The server ran the request and did not say otherwise.
+			answer.Close()
+			return nil, result.New(result.BadAnswer, "server %s ran the request and answered with status %d", got.choice.Server.ID, answer.Status).
+				WithRun(result.Run)
+		}
 		if err == nil && !h.repeatable(x, answer) {
 			return answer, nil
 		}
