--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -98,8 +98,6 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	// stopped is set while the process is not to be started again.
-	paused bool
 }
 
 type soak struct {
