Reserve ports of test processes in blocks

Cause: test/e2e and test/soak drew their ports from the same range (20000 to 32000) and run side by side under 'go test ./...'; a port was checked and closed before its process opened it, so a process of the other package could take it, and h1 ended at its start.

Ruled out: load (the process was started again by the next planned restart and then had its tables).

pkg/standin/freeport reserves blocks of ports with a listener for the life of the test process; steer, e2e and soak use it in place of three copies. The soak also reports a process that ends without a signal, which it did not notice before.

--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +21,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
+	"github.com/tamarackswitch/tamarackswitch/pkg/standin/freeport"
 	"github.com/tamarackswitch/tamarackswitch/pkg/units"
 )
 
@@ -177,26 +177,12 @@
 
 func hanging(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
-// nextPort is below the ports that the system gives to outgoing connections.
-var nextPort atomic.Int32
-
-// freeAddress returns an address that no other test of this run gets.
+// freeAddress returns a loopback address that no other test gets.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", 12000+(os.Getpid()*37+int(nextPort.Add(1)))%7000)
-		l, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		u, err := net.ListenPacket("udp4", address)
-		if err != nil {
-			continue
-		}
-		_ = u.Close()
-		return address
-	}
+	address, err := freeport.Address()
+	require.NoError(t, err)
+	return address
 }
 
 func startHost(t *testing.T, source Source, name, domain string) *Host {
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/standin/freeport"
 )
 
 // patience is a safety net for slow machines; no verdict depends on its length.
@@ -98,32 +99,14 @@
 	return stdout.String(), stderr.String(), err
 }
 
-// Ports below the range that the kernel gives to outgoing connections, so that
-// a restarted process finds its port free.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var nextPort = firstPort + os.Getpid()*97%(lastPort-firstPort)
-
-// freeAddress returns a loopback address that no other caller of this process
-// got before.
+// freeAddress returns a loopback address that no other test gets.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort >= lastPort {
-			nextPort = firstPort
-		}
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		if l, err := net.Listen("tcp", addr); err == nil {
-			l.Close()
-			return addr
-		}
+	address, err := freeport.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return address
 }
 
 // eventually waits until ok returns true.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,13 +18,13 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/standin/freeport"
 	"github.com/tamarackswitch/tamarackswitch/platform/standin"
 )
 
@@ -96,9 +95,14 @@
 	ready, metrics     string
 	log                tail
 
+	// ended is called if the process ends without a signal that ends it.
+	ended func(name string, err error)
+
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
+	// told is set once the running process got a signal that ends it.
+	told bool
 }
 
 type soak struct {
@@ -160,20 +164,12 @@
 	}}, nil)
 }
 
-// nextPort is below the ports that the system gives to outgoing connections.
-var nextPort atomic.Int32
-
-// freeAddress returns an address that no other seed of this run gets.
+// freeAddress returns a loopback address that no other test gets.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for {
-		port := 20000 + (os.Getpid()*37+int(nextPort.Add(1)))%12000
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			_ = l.Close()
-			return l.Addr().String()
-		}
-	}
+	address, err := freeport.Address()
+	require.NoError(t, err)
+	return address
 }
 
 func (s *soak) addServer(id, address, domain string) {
@@ -201,6 +197,7 @@
 	h := &host{
 		name: fmt.Sprintf("h%d", i), domain: domains[i%2], file: filepath.Join(t.TempDir(), "entry.toml"),
 		caller: freeAddress(t), lookup: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t),
+		ended: func(name string, err error) { s.violation("%s ended by itself: %v", name, err) },
 	}
 	text := fmt.Sprintf(`name = %q
 domain = %q
@@ -241,9 +238,15 @@
 		return err
 	}
 	done, cmd := make(chan struct{}), h.cmd
-	h.done = done
+	h.done, h.told = done, false
 	go func() {
-		_ = cmd.Wait() // the status of a killed process says nothing
+		err := cmd.Wait()
+		h.mu.Lock()
+		told := h.told
+		h.mu.Unlock()
+		if !told {
+			h.ended(h.name, err)
+		}
 		close(done)
 	}()
 	return nil
@@ -256,6 +259,7 @@
 	select {
 	case <-h.done:
 	default:
+		h.told = h.told || sig == syscall.SIGTERM || sig == syscall.SIGKILL
 		_ = h.cmd.Process.Signal(sig) // it may have ended meanwhile
 	}
 }
@@ -278,8 +282,9 @@
 func (h *host) end() {
 	h.signal(syscall.SIGKILL)
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	<-h.done
+	done := h.done
+	h.mu.Unlock()
+	<-done
 }
 
 // play runs callers and faults, then checks what they saw.
