Let rare routes not bound the queues of all others, in any order

Cause: the test for rare routes compared with a sum that was still being formed, so the limit of a server's queue depended on the order in which Go visits the map: the same load gave 10.0 or 16.0 requests per server from call to call.

The share is now taken of the requests of the same or higher urgency. TestRareRouteDoesNotBoundTheQueue failed before (10 of 10 slots, no queue) and passes.

--- a/pkg/core/placing/demand.go
+++ b/pkg/core/placing/demand.go
@@ -24,6 +24,9 @@
 	slackShare = 0.25
 	// queueMost bounds the requests in a server's queue, as a share of its slots.
 	queueMost = 0.6
+	// rareShare is the share of the requests of the same or higher urgency below
+	// which a route does not bound the queues.
+	rareShare = 0.01
 )
 
 // demand is what recent requests of a pool asked for, by route.
@@ -69,19 +72,23 @@
 // for all routes of the same or higher urgency, less what more urgent requests
 // need. hosts send like this one to capacity slots.
 func (d *demand) limit(priority, hosts, slots, capacity int) float64 {
-	urgent, seconds, count, slack := 0.0, 0.0, 0.0, math.Inf(1)
+	seconds, count := d.total()
+	if count == 0 || capacity == 0 {
+		return float64(slots)
+	}
+	urgent, ahead, slack := 0.0, 0.0, math.Inf(1)
 	for _, r := range d.routes {
-		seconds += r.seconds
-		count += r.count
 		if r.priority < priority {
 			urgent += r.seconds
 		}
-		if r.priority <= priority && r.count > count/100 {
-			slack = min(slack, max(r.target-r.seconds/r.count, 0))
+		if r.priority <= priority {
+			ahead += r.count
 		}
 	}
-	if count == 0 || capacity == 0 {
-		return float64(slots)
+	for _, r := range d.routes {
+		if r.priority <= priority && r.count > rareShare*ahead {
+			slack = min(slack, max(r.target-r.seconds/r.count, 0))
+		}
 	}
 	queue := min(slackShare*slack/(seconds/count), queueMost)
 	running := urgent / demandMean * float64(hosts) * float64(slots) / float64(capacity)
@@ -95,13 +102,18 @@
 // service returns the mean service time of the recent requests in seconds, or 0
 // without any.
 func (d *demand) service() float64 {
-	seconds, count := 0.0, 0.0
-	for _, r := range d.routes {
-		seconds += r.seconds
-		count += r.count
-	}
+	seconds, count := d.total()
 	if count == 0 {
 		return 0
 	}
 	return seconds / count
 }
+
+// total returns the slot time in seconds and the number of the recent requests.
+func (d *demand) total() (seconds, count float64) {
+	for _, r := range d.routes {
+		seconds += r.seconds
+		count += r.count
+	}
+	return seconds, count
+}
