--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -5,11 +5,11 @@
 package steer
 
 import (
+	"cmp"
 	"context"
 	stderrors "errors"
 	"net"
 	"net/http"
-	"reflect"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -85,8 +85,9 @@
 	h := &Host{
 		names: names, source: source, log: newEventLog(logger, cfg.Log.Rate), region: cfg.Region(),
 		self: fleet.EntryHost{
-			Name: cfg.Name, Domain: cfg.Domain, Region: cfg.Region(), Caller: cfg.Listen.Caller, Peer: cfg.Listen.Peer, Control: cfg.Listen.Control,
-			Started: time.Now().UnixMilli(),
+			Name: cfg.Name, Domain: cfg.Domain, Region: cfg.Region(), Started: time.Now().UnixMilli(),
+			Caller: cmp.Or(cfg.Advertise.Caller, cfg.Listen.Caller), Peer: cmp.Or(cfg.Advertise.Peer, cfg.Listen.Peer),
+			Control: cmp.Or(cfg.Advertise.Control, cfg.Listen.Control),
 		},
 		follow: newFollower(), registry: registry.New(), pools: map[string]*pool{},
 		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}),
@@ -109,13 +110,13 @@
 func (h *Host) Reload(s *Settings) {
 	old := h.cfg()
 	next := *s
-	next.Name, next.Domain, next.Listen, next.Platform = old.Name, old.Domain, old.Listen, old.Platform
+	next.Name, next.Domain, next.Listen, next.Advertise, next.Platform = old.Name, old.Domain, old.Listen, old.Advertise, old.Platform
 	if next.Regions[next.Domain] != old.Regions[old.Domain] {
 		next.Regions = old.Regions
 	}
 	h.settings.Store(&next)
 	h.log.setRate(next.Log)
-	h.log.reloaded(h, s.Name != old.Name || s.Domain != old.Domain || !reflect.DeepEqual(s.Listen, old.Listen) || s.Platform != old.Platform)
+	h.log.reloaded(h, s.Name != old.Name || s.Domain != old.Domain || s.Listen != old.Listen || s.Advertise != old.Advertise || s.Platform != old.Platform)
 	h.updatePools()
 }
 
--- a/pkg/steer/settings.go
+++ b/pkg/steer/settings.go
@@ -22,12 +22,14 @@
 	// Domain is the failure domain of this host.
 	Domain string `toml:"domain"`
 	// Regions maps each failure domain to its region.
-	Regions  map[string]string `toml:"regions"`
-	Listen   Listen            `toml:"listen"`
-	Platform Platform          `toml:"platform"`
-	Limits   Limits            `toml:"limits"`
-	Bounds   Bounds            `toml:"bounds"`
-	Log      Log               `toml:"log"`
+	Regions map[string]string `toml:"regions"`
+	Listen  Listen            `toml:"listen"`
+	// Advertise replaces listeners' addresses in what others are told.
+	Advertise Advertise `toml:"advertise"`
+	Platform  Platform  `toml:"platform"`
+	Limits    Limits    `toml:"limits"`
+	Bounds    Bounds    `toml:"bounds"`
+	Log       Log       `toml:"log"`
 }
 
 // Listen holds the addresses of the listeners, IP number and port.
@@ -46,6 +48,16 @@
 	Metrics string `toml:"metrics"`
 }
 
+// Advertise holds the addresses under which others reach this host, where they
+// differ from those of its listeners. An empty address is that of the listener.
+type Advertise struct {
+	// Caller is named in look-up answers.
+	Caller string `toml:"caller"`
+	// Control and Peer are used by other entry hosts.
+	Control string `toml:"control"`
+	Peer    string `toml:"peer"`
+}
+
 // Platform locates the platform's store.
 type Platform struct {
 	Address string `toml:"address"`
@@ -146,6 +158,13 @@
 			return bad(a.field, "%q is not an IP number and port", a.value)
 		}
 	}
+	for _, a := range []struct{ field, value string }{
+		{"advertise.caller", s.Advertise.Caller}, {"advertise.control", s.Advertise.Control}, {"advertise.peer", s.Advertise.Peer},
+	} {
+		if _, err := netip.ParseAddrPort(a.value); a.value != "" && err != nil {
+			return bad(a.field, "%q is not an IP number and port", a.value)
+		}
+	}
 	switch b := s.Bounds; {
 	case b.Grace < leastDuration:
 		return bad("bounds.grace", "must be at least %s, with a unit", leastDuration)
