--- a/pkg/steer/page_test.go
+++ b/pkg/steer/page_test.go
@@ -25,6 +25,10 @@
 control = "127.0.0.1:4"
 peer = "127.0.0.1:5"
 metrics = "127.0.0.1:6"
+[advertise]
+caller = "127.0.0.2:1"
+control = "127.0.0.2:4"
+peer = "127.0.0.2:5"
 [platform]
 address = "127.0.0.1:8"
 [limits]
@@ -50,6 +54,7 @@
 		{`name = "h1"`, ``, "name: is missing"},
 		{`domain = "a-1"`, `domain = "b"`, `domain: "b" has no region`},
 		{`"127.0.0.1:1"`, `"localhost:1"`, `listen.caller: "localhost:1" is not an IP number and port`},
+		{`"127.0.0.2:5"`, `"127.0.0.2"`, `advertise.peer: "127.0.0.2" is not an IP number and port`},
 		{`cpu_share = 0.5`, `cpu_share = 2`, "limits.cpu_share"},
 		{`cores = 1`, `cores = 0`, "limits.cores"},
 		{`grace = "6s"`, `grace = "0s"`, "bounds.grace"},
@@ -98,21 +103,18 @@
 	}
 	require.Equal(t, keys("", reflect.TypeFor[Settings]()), listed)
 	for key, want := range defaults {
-		section, name, dotted := strings.Cut(key, ".")
-		if !dotted {
-			name = key
-		}
-		line := regexp.MustCompile(`(?m)^"?` + name + `"? = .*$`)
-		if key == "regions" {
-			line = regexp.MustCompile(`(?m)^"a-1" = .*$`)
-		}
-		require.Len(t, line.FindAllString(validSettings, -1), 1, section)
-		s, err := ParseSettings("s.toml", []byte(line.ReplaceAllString(validSettings, "")))
+		s, err := ParseSettings("s.toml", []byte(withoutKey(t, key)))
 		switch want {
 		case "required":
 			require.Error(t, err, key)
 		case "none":
 			require.NoError(t, err, key)
+		case "listen.caller", "listen.control", "listen.peer":
+			require.NoError(t, err, key)
+			self := New(s, testNames, newSource(), &log.Logger{}).self
+			require.Contains(t, []string{self.Caller, self.Control, self.Peer}, map[string]string{
+				"listen.caller": s.Listen.Caller, "listen.control": s.Listen.Control, "listen.peer": s.Listen.Peer,
+			}[want], key)
 		default:
 			require.NoError(t, err, key)
 			require.Contains(t, []string{s.Log.Level, "100"}, want, key)
@@ -120,6 +122,41 @@
 	}
 }
 
+// withoutKey returns the valid settings without the line of a key.
+func withoutKey(t *testing.T, key string) string {
+	t.Helper()
+	section, name, dotted := strings.Cut(key, ".")
+	if !dotted {
+		section, name = "", key
+	}
+	if key == "regions" {
+		section, name = key, "a-1"
+	}
+	var out []string
+	removed, at := 0, ""
+	for _, line := range strings.Split(validSettings, "\n") {
+		if strings.HasPrefix(line, "[") {
+			at = strings.Trim(line, "[]")
+		}
+		if at == section && strings.HasPrefix(strings.Trim(line, `"`), name) {
+			removed++
+			continue
+		}
+		out = append(out, line)
+	}
+	require.Equal(t, 1, removed, key)
+	return strings.Join(out, "\n")
+}
+
+// Guards against a host that names its listeners to others although they reach
+// it under other addresses.
+func TestAdvertisedAddresses(t *testing.T) {
+	s, err := ParseSettings("s.toml", []byte(validSettings))
+	require.NoError(t, err)
+	self := New(s, testNames, newSource(), &log.Logger{}).self
+	require.Equal(t, []string{"127.0.0.2:1", "127.0.0.2:4", "127.0.0.2:5"}, []string{self.Caller, self.Control, self.Peer})
+}
+
 var metricRow = regexp.MustCompile("(?m)^\\| `(tamarackswitch_steer_[a-z_]+)` \\| (\\w+) \\|([^|]*)\\| ([^|]+) \\|$")
 
 // Guards against a metric that docs/steer.md lacks or describes otherwise.
