--- a/pkg/cli/steer.go
+++ b/pkg/cli/steer.go
@@ -25,14 +25,16 @@
 			if file == "" {
 				return result.New(result.Usage, "--settings or --settings-env must name a settings file")
 			}
+			// A hangup that arrives before the host runs must not end the process.
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
 			cfg, err := steer.LoadSettings(file)
 			if err != nil {
 				return err
 			}
 			logger := newLogger(cmd.OutOrStdout(), cfg.Log.Level)
 			host := steer.New(cfg, platform.Names(), platform.NewSource(cfg.Platform.Address, logger), logger)
-			stop := reloadOnHangup(host, file)
-			defer stop()
+			go reloadOnHangup(hangups, host, file)
 			if err := host.Start(); err != nil {
 				return err
 			}
@@ -44,22 +46,15 @@
 	return c
 }
 
-// reloadOnHangup reads the settings again on each SIGHUP until stop is called.
-func reloadOnHangup(host *steer.Host, file string) (stop func()) {
-	received := make(chan os.Signal, 1)
-	signal.Notify(received, syscall.SIGHUP)
-	go func() {
-		for range received {
-			cfg, err := steer.LoadSettings(file)
-			if err != nil {
-				host.ReloadFailed(err)
-				continue
-			}
-			host.Reload(cfg)
+// reloadOnHangup reads the settings again on each hangup. It goes on while the
+// host shuts down, because a hangup would end the process otherwise.
+func reloadOnHangup(hangups <-chan os.Signal, host *steer.Host, file string) {
+	for range hangups {
+		cfg, err := steer.LoadSettings(file)
+		if err != nil {
+			host.ReloadFailed(err)
+			continue
 		}
-	}()
-	return func() {
-		signal.Stop(received)
-		close(received)
+		host.Reload(cfg)
 	}
 }
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -3,17 +3,16 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/restcall"
 )
 
 // Deadlines and bounds of the client.
@@ -73,11 +72,9 @@
 
 // Client is a Store over HTTP. It is safe for concurrent use.
 type Client struct {
-	base    string
-	token   string
 	timeout time.Duration
 	wait    time.Duration
-	http    *http.Client
+	http    *restcall.Caller
 }
 
 var _ Store = (*Client)(nil)
@@ -103,11 +100,13 @@
 	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}
-	return &Client{base: strings.TrimSuffix(o.Address, "/"), token: o.Token, timeout: o.Timeout, wait: o.Wait, http: client}, nil
+	return &Client{timeout: o.Timeout, wait: o.Wait, http: &restcall.Caller{
+		Base: strings.TrimSuffix(o.Address, "/"), Token: o.Token, MaxAnswer: MaxAnswerBytes, HTTP: client, StatusError: statusError,
+	}}, nil
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.http.HTTP.CloseIdleConnections() }
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
@@ -196,24 +195,8 @@
 // ErrUnavailable because a read changes nothing; a failure of a write is so only
 // if the request was never sent or the platform said that nothing changed.
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, body []byte, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return errors.WithType(err, ErrUnavailable)
-	}
-	if c.token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.token)
-	}
-	answer, err := c.http.Do(req)
-	if err == nil {
-		err = decodeAnswer(answer, into)
-	}
-	if err != nil && !isKnown(err) && (method == http.MethodGet || !sent.Load()) {
+	sent, err := c.http.Call(ctx, timeout, method, path, body, into)
+	if err != nil && !isKnown(err) && (method == http.MethodGet || !sent) {
 		return errors.WithType(err, ErrUnavailable)
 	}
 	return err
@@ -228,20 +211,10 @@
 	return false
 }
 
-func decodeAnswer(answer *http.Response, into any) error {
-	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode != http.StatusOK {
-		return statusError(answer)
-	}
-	limited := &io.LimitedReader{R: answer.Body, N: MaxAnswerBytes + 1}
-	err := json.NewDecoder(limited).Decode(into)
-	if limited.N <= 0 {
-		return errors.Errorf("the answer is larger than %d bytes", MaxAnswerBytes)
-	}
-	return errors.Annotate(err, "decode answer")
-}
-
 func statusError(answer *http.Response) error {
+	if answer.StatusCode == http.StatusOK {
+		return nil
+	}
 	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxErrorBytes))
 	message := answer.Status + ": " + strings.TrimSpace(string(text))
 	switch {
--- /dev/null
+++ b/pkg/restcall/restcall.go
@@ -0,0 +1,77 @@
+// Package restcall makes HTTP calls with JSON answers: each with a timeout, a
+// bound on its answer, and word of whether it was sent. The object APIs of
+// package platform and of the adapter are bindings of it.
+package restcall
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Caller makes calls to one server. It is safe for concurrent use.
+type Caller struct {
+	// Base is put before the path of each call.
+	Base string
+	// Token is sent as bearer token unless it is empty.
+	Token string
+	// ContentType is that of the bodies that are sent.
+	ContentType string
+	// MaxAnswer bounds the body of one answer in bytes.
+	MaxAnswer int64
+	HTTP      *http.Client
+	// StatusError returns the error that an answer's status stands for, or nil.
+	StatusError func(*http.Response) error
+}
+
+// Call sends one request and decodes its answer into out, unless out is nil.
+// sent is false if the request certainly never left this process.
+func (c *Caller) Call(ctx context.Context, timeout time.Duration, method, path string, body []byte, out any) (sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	if len(body) > 0 && c.ContentType != "" {
+		req.Header.Set("Content-Type", c.ContentType)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return connected.Load(), errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }() // the answer was read, or failed
+	if err := c.StatusError(resp); err != nil {
+		return true, err
+	}
+	return true, c.decode(resp.Body, out)
+}
+
+func (c *Caller) decode(body io.Reader, out any) error {
+	limited := &io.LimitedReader{R: body, N: c.MaxAnswer + 1}
+	raw, err := io.ReadAll(limited)
+	if err != nil {
+		return errors.Annotate(err, "read answer")
+	}
+	if int64(len(raw)) > c.MaxAnswer {
+		return errors.Errorf("the answer is larger than %d bytes", c.MaxAnswer)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Annotate(json.Unmarshal(raw, out), "decode answer")
+}
--- a/pkg/standin/freeport/freeport.go
+++ b/pkg/standin/freeport/freeport.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 
 	"github.com/juju/errors"
 )
@@ -75,8 +76,11 @@
 	return errors.Errorf("all %d blocks of ports from %d to %d are in use", blocks, firstPort, lastPort)
 }
 
-// free reports whether nothing listens on the address.
+// free reports whether nothing listens on the address. No process may start
+// meanwhile: it would hold the sockets until it runs its program.
 func free(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return false
--- a/pkg/standin/freeport/freeport_test.go
+++ b/pkg/standin/freeport/freeport_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,3 +59,38 @@
 	}
 	require.Len(t, seen, 4*addressesEach)
 }
+
+// TestAddressStaysFreeWhileProcessesStart guards against an address that is in
+// use because a process that starts at the moment inherited the socket with which
+// it was tried.
+func TestAddressStaysFreeWhileProcessesStart(t *testing.T) {
+	done := make(chan struct{})
+	var starters sync.WaitGroup
+	for range 4 {
+		starters.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				cmd := exec.Command(os.Args[0], "-test.run", "^$")
+				if cmd.Start() == nil {
+					_ = cmd.Wait() // only its start matters
+				}
+			}
+		})
+	}
+	for range 2000 {
+		address, err := Address()
+		require.NoError(t, err)
+		l, err := net.Listen("tcp4", address)
+		require.NoError(t, err)
+		u, err := net.ListenPacket("udp4", address)
+		require.NoError(t, err)
+		defer l.Close()
+		defer u.Close()
+	}
+	close(done)
+	starters.Wait()
+}
