--- a/pkg/core/placing/server.go
+++ b/pkg/core/placing/server.go
@@ -116,3 +116,13 @@
 }
 
 func (b *bucket) take() { b.tokens-- }
+
+// rested keeps requests away from a server that could not be reached, for
+// longer after each attempt.
+func (s *server) rested(now time.Time) {
+	if now.Before(s.restUntil) {
+		return
+	}
+	s.rest = min(max(2*s.rest, restFirst), restMost)
+	s.restUntil, s.trial = now.Add(s.rest), true
+}
