Wait for a time or the end of a context in one place

Six copies of the same function in steer, entry, client and platform become pkg/wait. No change of behaviour; tests of these packages, test/cluster and test/e2e: ok.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -24,6 +24,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/api"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // Defaults of a Client.
@@ -277,19 +278,7 @@
 	if try+1 >= c.cfg.Tries || time.Until(deadline) <= d {
 		return false
 	}
-	return sleep(ctx, d)
-}
-
-// sleep reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return wait.For(ctx, d)
 }
 
 // keyPrefix returns the prefix of keys that a host owns. An entry host that has
@@ -330,7 +319,7 @@
 	defer cancel()
 	if r.Idempotent || r.Key != "" {
 		go func() {
-			for sleep(ctx, checkAfter) {
+			for wait.For(ctx, checkAfter) {
 				check, end := context.WithTimeout(ctx, checkTimeout)
 				_, err := c.lookupAt(check, host.Address, "")
 				end()
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -13,6 +13,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/tablesync"
 	"github.com/tamarackswitch/tamarackswitch/pkg/peer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/platform"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // Kinds of messages, named as in the design page.
@@ -469,11 +470,5 @@
 	h.log.Info().Int("blocks", table.Size()).Int("sites", len(sites)).Msg("client blocks in force")
 }
 
-func (h *Host) sleep(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-h.tomb.Dying():
-	case <-t.C:
-	}
-}
+// sleep waits for d or until the host stops.
+func (h *Host) sleep(d time.Duration) { wait.For(h.tomb.Context(context.Background()), d) }
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -7,6 +7,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/retry"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // retry repeats an attempt that failed, within the budget of the route:
@@ -45,7 +46,7 @@
 			if !decision.OK {
 				return err
 			}
-			if !wait(ctx, decision.Wait) {
+			if !wait.For(ctx, decision.Wait) {
 				return err
 			}
 		}
@@ -88,14 +89,3 @@
 	}
 	return b
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -10,6 +10,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
 	"github.com/tamarackswitch/tamarackswitch/pkg/peer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // Constants of a graceful shutdown.
@@ -32,13 +33,13 @@
 	h.log.Info().Msg("shutdown begins: withdrawn from look-ups")
 	h.sendMembership(h.members.Leave(now))
 	h.membersChanged(now)
-	h.pause(ctx, h.cfg.Limits.LookupCache.Std()+cacheSlack)
+	wait.For(ctx, h.cfg.Limits.LookupCache.Std()+cacheSlack)
 	successor := h.handKeysOver(ctx)
 	h.stopping.Store(true)
 	cut := h.finishRequests(ctx)
 	h.handLateKeys(ctx, successor)
 	h.sendMembership(h.members.Exit(time.Now()))
-	h.pause(ctx, drainPoll)
+	wait.For(ctx, drainPoll)
 	stopErr := h.Stop()
 	if cut > 0 {
 		return result.New(result.ForcedStop, "%d requests were cut", cut)
@@ -47,21 +48,12 @@
 	return stopErr
 }
 
-func (h *Host) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // finishRequests waits until no request is held and returns how many are left
 // when ctx ends or the grace of the settings has passed.
 func (h *Host) finishRequests(ctx context.Context) int64 {
 	limit := time.Now().Add(h.cfg.Limits.ShutdownGrace.Std())
 	for h.requests.Load() > 0 && ctx.Err() == nil && time.Now().Before(limit) {
-		h.pause(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 	return h.requests.Load()
 }
--- a/pkg/platform/settle.go
+++ b/pkg/platform/settle.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // Bounds of PutSettled.
@@ -30,7 +31,7 @@
 		return o, err
 	}
 	for attempt := range settleAttempts {
-		if attempt > 0 && !sleep(ctx, settleDelay<<(attempt-1)) {
+		if attempt > 0 && !wait.For(ctx, settleDelay<<(attempt-1)) {
 			break
 		}
 		have, readErr := store.Get(ctx, key)
@@ -53,15 +54,3 @@
 func unsettled(cause error, format string, args ...any) error {
 	return result.Wrap(cause, result.UpdateUnsettled, format, args...).WithRun(result.Unknown)
 }
-
-// sleep waits for d and reports whether ctx was still live at its end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -16,6 +16,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // Times and sizes of following the store.
@@ -134,7 +135,7 @@
 		case err != nil:
 			h.storeFailed(kind, err)
 			whole = true
-			if !sleep(ctx, pause/2+rand.N(pause)) {
+			if !wait.For(ctx, pause/2+rand.N(pause)) {
 				return
 			}
 			pause = min(2*pause, h.follow.retryMost())
@@ -143,7 +144,7 @@
 		pause, whole = retryFirst, false
 		h.storeAnswered(kind)
 		h.take(kind, changes, complete)
-		if len(changes.Items) > 0 && !sleep(ctx, eventPause) {
+		if len(changes.Items) > 0 && !wait.For(ctx, eventPause) {
 			return
 		}
 	}
@@ -345,15 +346,3 @@
 	h.log.storeFailed(kind.String(), err)
 	h.metrics.storeCalls.WithLabelValues(kind.String(), "failed").Inc()
 }
-
-// sleep waits for d and reports whether ctx was still live at its end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -23,6 +23,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // Limits of connections to backend servers.
@@ -219,7 +220,7 @@
 	h.log.leaving(h)
 	ctx, cancel := context.WithDeadline(h.tomb.Context(ctx), began.Add(h.cfg().Bounds.Grace.Std()-exitMargin))
 	defer cancel()
-	if !sleep(ctx, withdrawTime) {
+	if !wait.For(ctx, withdrawTime) {
 		return h.Stop()
 	}
 	// Not http.Server.Shutdown: it drops a request that it reads meanwhile. The
@@ -227,7 +228,7 @@
 	if err := h.callers.Close(); err != nil {
 		h.log.warn(err, "the listener of callers could not be closed")
 	}
-	for sleep(ctx, acceptTime) && h.busy.count() > 0 {
+	for wait.For(ctx, acceptTime) && h.busy.count() > 0 {
 	}
 	return h.Stop()
 }
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // Times and sizes of the messages between entry hosts.
@@ -322,7 +323,7 @@
 			return nil
 		}
 		h.log.warn(err, "this host could not be published")
-		if !h.pause(pause) {
+		if !wait.For(ctx, pause) {
 			return nil
 		}
 	}
@@ -331,7 +332,7 @@
 // readHosts reads the published hosts, less often as time passes.
 func (h *Host) readHosts() error {
 	ctx := h.tomb.Context(context.Background())
-	for pause := hostsFirst; h.pause(pause); pause = min(2*pause, hostsMost) {
+	for pause := hostsFirst; wait.For(ctx, pause); pause = min(2*pause, hostsMost) {
 		hosts, err := h.source.Hosts(ctx)
 		if err != nil {
 			h.log.warn(err, "the published hosts could not be read")
@@ -345,13 +346,3 @@
 	}
 	return nil
 }
-
-// pause waits for d and reports whether the host is still alive.
-func (h *Host) pause(d time.Duration) bool {
-	select {
-	case <-h.tomb.Dying():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
