Learn how long connections may rest before servers forget them

Cause: servers may forget idle connections sooner than usual; what is sent next is reset. A read is sent again, but a write is lost: its outcome is unknown. Writes used any connection with an answer in the last second.

A connection that is reset within a round trip after it had rested lowers the rest that is allowed, at all servers, to half of that rest for 8 s. A loss after the time of any work does not. Ruled out: fresh connections for all writes (1 ms of a slot each).

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -99,6 +99,8 @@
 	cc     *http.ClientConn
 	pool   *pool
 	reused bool
+	// dialed is the time that it took to open the connection, over a round trip.
+	dialed time.Duration
 	// lastAnswer is when the last complete answer had been read.
 	lastAnswer time.Time
 	closed     sync.Once
@@ -138,12 +140,12 @@
 
 // dial opens a connection to addr.
 func (f *Forwarder) dial(ctx context.Context, p *pool) (*conn, error) {
-	c := &conn{pool: p}
+	c, start := &conn{pool: p}, f.now()
 	cc, err := f.transport.NewClientConn(context.WithValue(ctx, dialKey{}, c), "http", p.addr)
 	if err != nil {
 		return nil, err
 	}
-	c.cc = cc
+	c.cc, c.dialed = cc, f.now().Sub(start)
 	return c, nil
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -65,6 +65,7 @@
 	now       func() time.Time
 	transport *http.Transport
 	stopped   atomic.Bool
+	rest      restLimit
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -242,6 +243,7 @@
 	if x.req.Once {
 		maxAge = min(maxAge, WriteFreshness)
 	}
+	maxAge = x.f.rest.atMost(x.f.now(), maxAge)
 	x.at = &attempt{valid: x.req.Valid}
 	c, err := x.pool.get(x.ctx, maxAge)
 	if err != nil {
@@ -253,7 +255,7 @@
 		x.at.fresh = func() bool { return age(x.f.now(), last) <= WriteFreshness }
 	}
 	c.raw.attempt.Store(x.at)
-	received := c.raw.received.Load()
+	received, sent := c.raw.received.Load(), x.f.now()
 	resp, err := c.cc.RoundTrip(x.outbound())
 	if err == nil {
 		a, rerr := x.accept(resp)
@@ -267,6 +269,9 @@
 	}
 	if !untouched && c.raw.received.Load() == received {
 		x.pool.suspect(x.start)
+		if c.reused && x.ctx.Err() == nil && x.f.now().Sub(sent) < 2*c.dialed+resetSlack {
+			x.f.rest.forgotten(sent, age(sent, c.lastAnswer))
+		}
 	}
 	return nil, x.failure(err), false
 }
