Close idle connections of callers once a shutdown closes the listener

The host got SIGTERM at 19.1 s and its listener closed at 22.1 s; at 24.5 s a caller sent a request on a connection that it had kept, and the host, which still awaited other answers, ran it and was stopped by the end of its grace at 24.8 s.

Ruled out: a longer grace (it is the platform's); a request that waited (it ran at once). Idle connections are now closed together with the listener and after each answer, and a request that comes all the same and may outlast the process is rejected as not run. TestShutdownClosesIdleConnections failed before.

--- /dev/null
+++ b/pkg/steer/conns.go
@@ -0,0 +1,52 @@
+package steer
+
+import (
+	"net"
+	"net/http"
+	"sync"
+)
+
+// callerConns are the open connections of callers.
+type callerConns struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+}
+
+// track is the ConnState hook of the server.
+func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew, http.StateActive, http.StateIdle:
+		if c.states == nil {
+			c.states = map[net.Conn]http.ConnState{}
+		}
+		c.states[conn] = state
+	default:
+		delete(c.states, conn)
+	}
+}
+
+// busy returns the number of connections that are new or have a request.
+func (c *callerConns) busy() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, state := range c.states {
+		if state != http.StateIdle {
+			n++
+		}
+	}
+	return n
+}
+
+// closeIdle closes the connections between two requests.
+func (c *callerConns) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, state := range c.states {
+		if state == http.StateIdle {
+			_ = conn.Close() // it has no request whose answer could be lost
+		}
+	}
+}
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -53,9 +53,9 @@
 
 	tomb    tomb.Tomb
 	servers []*http.Server
-	// callers is the listener of callers, busy their connections in use.
+	// callers is the listener of callers, conns their connections.
 	callers net.Listener
-	busy    busyConns
+	conns   callerConns
 
 	table     atomic.Pointer[fleet.Table]
 	tableMu   sync.Mutex
@@ -77,6 +77,9 @@
 	metrics  *metrics
 
 	leaving atomic.Bool
+	// ends is when a shutdown stops the process, once callers' connections are
+	// closed.
+	ends atomic.Pointer[time.Time]
 	// held counts the requests that were read and not answered.
 	held atomic.Int64
 }
@@ -159,7 +162,7 @@
 	srv := forward.NewServer(handler, forward.Limits{HeadBytes: maxHead, HeadTimeout: headTimeout, KeepAlive: callerIdle})
 	h.servers = append(h.servers, srv)
 	if address == h.cfg().Listen.Caller {
-		h.callers, srv.ConnState = l, h.busy.track
+		h.callers, srv.ConnState = l, h.conns.track
 	}
 	h.tomb.Go(func() error {
 		if err := srv.Serve(l); !stderrors.Is(err, http.ErrServerClosed) && !h.leaving.Load() {
@@ -218,17 +221,20 @@
 	began := time.Now()
 	h.leaving.Store(true)
 	h.log.leaving(h)
-	ctx, cancel := context.WithDeadline(h.tomb.Context(ctx), began.Add(h.cfg().Bounds.Grace.Std()-exitMargin))
+	ends := began.Add(h.cfg().Bounds.Grace.Std() - exitMargin)
+	ctx, cancel := context.WithDeadline(h.tomb.Context(ctx), ends)
 	defer cancel()
 	if !wait.For(ctx, withdrawTime) {
 		return h.Stop()
 	}
 	// Not http.Server.Shutdown: it drops a request that it reads meanwhile. The
-	// listener is closed, and what was accepted is answered.
+	// listener and idle connections are closed, and what was accepted is answered.
+	h.ends.Store(&ends)
 	if err := h.callers.Close(); err != nil {
 		h.log.warn(err, "the listener of callers could not be closed")
 	}
-	for wait.For(ctx, acceptTime) && h.busy.count() > 0 {
+	for h.conns.closeIdle(); wait.For(ctx, acceptTime) && h.conns.busy() > 0; {
+		h.conns.closeIdle()
 	}
 	return h.Stop()
 }
--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -640,7 +641,7 @@
 	conn, err := net.Dial("tcp4", h.self.Caller)
 	require.NoError(t, err)
 	defer conn.Close()
-	require.Eventually(t, func() bool { return h.busy.count() == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return h.conns.busy() == 1 }, patience, time.Millisecond)
 	stopped := make(chan error, 1)
 	go func() { stopped <- h.Shutdown(context.Background()) }()
 	require.Eventually(t, func() bool {
@@ -657,3 +658,56 @@
 	require.Contains(t, string(answer), "200 OK")
 	require.NoError(t, <-stopped)
 }
+
+// Guards against a kept connection whose caller sends a request that the process
+// cannot answer before it stops: the request would be cut.
+func TestShutdownClosesIdleConnections(t *testing.T) {
+	release := make(chan struct{})
+	h, servers, _ := lab(t, map[string]http.HandlerFunc{"s1": func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/safe/slow" {
+			<-release
+		}
+		ok(w, r)
+	}})
+	defer close(release)
+	const request = "GET /safe/%s HTTP/1.1\r\nHost: a.example\r\nReq-Id: %s\r\nLeft-Ms: 9000\r\n\r\n"
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp4", h.self.Caller)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	idle, busy := dial(), dial()
+	_, err := fmt.Fprintf(idle, request, "quick", "1")
+	require.NoError(t, err)
+	first, err := http.ReadResponse(bufio.NewReader(idle), nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, first.Body)
+	require.NoError(t, err)
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.Shutdown(context.Background()) }()
+	// In progress when the listener is closed, and until the route's timeout.
+	time.Sleep(withdrawTime - 1500*time.Millisecond)
+	_, err = fmt.Fprintf(busy, request, "slow", "2")
+	require.NoError(t, err)
+	require.NoError(t, idle.SetReadDeadline(time.Now().Add(patience)))
+	_, err = idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, 1, h.conns.busy(), "the other request is awaited")
+	// A request that came with the close and could outlast the process.
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest("GET", "/safe/quick", nil)
+	r.Host = "a.example"
+	r.Header.Set("Req-Id", "3")
+	r.Header.Set("Left-Ms", "9000")
+	h.serveRequest(w, r)
+	// The route's timeout of 2 s ends before the process does.
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Eventually(t, func() bool { return time.Until(*h.ends.Load()) < 2*time.Second }, patience, 10*time.Millisecond)
+	w = httptest.NewRecorder()
+	r.Header.Set("Req-Id", "4")
+	h.serveRequest(w, r)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+	require.Equal(t, 3, servers["s1"].count())
+}
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -72,7 +72,7 @@
 }
 
 func (h *Host) handle(x *exchange) (*forward.Answer, *result.Error) {
-	for _, filter := range []func(*exchange) *result.Error{h.receive, h.routeRequest, h.readBody} {
+	for _, filter := range []func(*exchange) *result.Error{h.receive, h.routeRequest, h.checkEnd, h.readBody} {
 		if err := filter(x); err != nil {
 			return nil, err
 		}
@@ -136,6 +136,14 @@
 	return nil
 }
 
+// checkEnd rejects a request that may outlast this process.
+func (h *Host) checkEnd(x *exchange) *result.Error {
+	if ends := h.ends.Load(); ends != nil && x.deadline.After(*ends) {
+		return result.New(result.ShuttingDown, "this host stops before the request's deadline").WithRetryAfter(returnAfter(acceptTime))
+	}
+	return nil
+}
+
 // defaultTimeout applies to requests without any deadline.
 const defaultTimeout = 30 * time.Second
 
