Spend less time and memory per placement in large pools

Cause: each choice looked at the servers of all regions, asked for the mean service time once per server, and allocated a list of them.

--- a/pkg/core/placing/choose.go
+++ b/pkg/core/placing/choose.go
@@ -1,6 +1,9 @@
 package placing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // candidate is a server under consideration.
 type candidate struct {
@@ -57,24 +60,34 @@
 	return choice
 }
 
-// best returns the cheapest usable server inside or outside the own region.
+// side returns the servers inside or outside the own region.
+func (p *Pool) side(local bool) []*server {
+	if local {
+		return p.inside
+	}
+	return p.outside
+}
+
+// best returns the cheapest usable server inside or outside the own region. The
+// candidate is valid until the next call.
 func (p *Pool) best(now time.Time, n Need, local bool) *candidate {
 	service := p.estimates(n)
 	first := p.preferred(n, local)
 	key := n.Route + "\x00" + n.Key
 	var best, open, fresh, adopt *candidate
-	all := make([]candidate, 0, len(p.order))
-	limits := p.limits(n)
-	for _, s := range p.order {
-		if (s.region == p.region) != local || !p.usable(now, s, n) {
+	servers := p.side(local)
+	p.scratch = slices.Grow(p.scratch[:0], len(servers))
+	limits, usual := p.limits(n), p.usual(service)
+	for _, s := range servers {
+		if !p.usable(now, s, n) {
 			continue
 		}
-		all = append(all, candidate{server: s, load: s.load(now), class: s.keys.class(key)})
-		c := &all[len(all)-1]
+		p.scratch = append(p.scratch, candidate{server: s, load: s.load(now), class: s.keys.class(key)})
+		c := &p.scratch[len(p.scratch)-1]
 		c.plain, c.least = service[c.class], p.learned(n.Route, c.class)
 		c.service = c.plain * s.slow
 		if over := c.load - float64(s.Slots) + 1; over > 0 {
-			c.wait = over / float64(s.Slots) * p.usual(service) * s.slow
+			c.wait = over / float64(s.Slots) * usual * s.slow
 		}
 		c.cost = c.wait + c.service + s.failureRatio(now)*failureCost*n.Left.Seconds()
 		if s != first {
@@ -184,8 +197,8 @@
 	}
 	var first *server
 	var most uint64
-	for _, s := range p.order {
-		if (s.region == p.region) != local || s.Draining {
+	for _, s := range p.side(local) {
+		if s.Draining {
 			continue
 		}
 		if w := s.weight(n.Key); first == nil || w > most {
--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -111,6 +111,10 @@
 	region   string
 	servers  map[string]*server
 	order    []*server // all that are not gone
+	// inside and outside are those of the own region and of the others.
+	inside, outside []*server
+	// scratch holds the candidates of one choice.
+	scratch []candidate
 	firsts   map[firstKey]*server
 	services map[string]*[classes]estimate
 	means    map[string]*estimate // over all classes, by route
@@ -181,6 +185,14 @@
 	}
 	// The same servers give the same choices in every process.
 	slices.SortFunc(p.order, func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
+	p.inside, p.outside = p.inside[:0], p.outside[:0]
+	for _, s := range p.order {
+		if s.region == p.region {
+			p.inside = append(p.inside, s)
+		} else {
+			p.outside = append(p.outside, s)
+		}
+	}
 	p.sumPeers()
 	own, all, regions := p.capacity()
 	p.own = own
@@ -190,6 +202,9 @@
 // PeerLoad records the requests in progress of another host, by server.
 func (p *Pool) PeerLoad(host string, loads map[string]int) {
 	if len(loads) == 0 {
+		if p.peers[host] == nil {
+			return
+		}
 		delete(p.peers, host)
 	} else {
 		p.peers[host] = loads
--- a/pkg/core/placing/regions.go
+++ b/pkg/core/placing/regions.go
@@ -12,6 +12,9 @@
 	Slots    int     `cbor:"4,keyasint"`
 }
 
+// OwnServers returns the number of servers of the own region.
+func (p *Pool) OwnServers() int { return len(p.inside) }
+
 // regionLoad is what another region told.
 type regionLoad struct {
 	pressure float64
@@ -73,8 +76,8 @@
 // waited for.
 func (p *Pool) pressure(now time.Time) (float64, bool) {
 	load, slots := float64(p.waiting), 0
-	for _, s := range p.order {
-		if s.region == p.region && p.usable(now, s, Need{}) && !s.isCold(now) {
+	for _, s := range p.inside {
+		if p.usable(now, s, Need{}) && !s.isCold(now) {
 			load += min(s.load(now), float64(2*s.Slots))
 			slots += s.Slots
 		}
--- a/pkg/core/placing/server.go
+++ b/pkg/core/placing/server.go
@@ -62,7 +62,7 @@
 // load returns the estimate of the requests at the server.
 func (s *server) load(now time.Time) float64 {
 	known := float64(s.running + s.peers)
-	if now.Sub(s.othersAt) < toldLife {
+	if len(s.others) > 0 && now.Sub(s.othersAt) < toldLife {
 		for _, n := range s.others {
 			known += float64(n)
 		}
