Split large regions into groups of entry hosts

Causes: every host sent beacons to every other one of its region; one host, possibly a weak one, gave its copy of the store to all others, and a transfer of a whole copy that took over 0.8 s was given up and begun again; after a kill of all every host listed the store at once; each change of one server was applied to all pools.

Regions of more than 48 hosts are now split into groups of about 24, parts of failure domains, that tell each other in digests who lives (pkg/core/groups). Each group has its own watcher, a strong host first. A transfer ends only if it makes no progress. A starting host reads the published hosts first and asks the store in turn. Pools without a changed server are left alone. Smaller regions form one group and exchange beacons as before.

--- a/pkg/core/feed/feed_test.go
+++ b/pkg/core/feed/feed_test.go
@@ -118,7 +118,7 @@
 					others = append(others, Copy{Host: h, Watching: watching[h], Age: 100 * time.Millisecond})
 				}
 			}
-			next[self] = Choose(self, watching[self], 100*time.Millisecond, others).Watch
+			next[self] = Choose(Copy{Host: self, Watching: watching[self], Age: 100 * time.Millisecond}, others).Watch
 		}
 		watching = next
 	}
@@ -139,7 +139,7 @@
 				others = append(others, Copy{Host: h, Age: age})
 			}
 		}
-		return Choose(self, false, age, others)
+		return Choose(Copy{Host: self, Age: age}, others)
 	}
 	require.True(t, role(hosts[1], StaleAfter).Watch)
 	require.False(t, role(hosts[2], StaleAfter).Watch)
@@ -149,16 +149,16 @@
 	// Once the second one has an up to date copy, the others follow it, until
 	// the first one has one again.
 	second := Copy{Host: hosts[1], Watching: true, Age: 0}
-	require.Equal(t, Role{Follow: hosts[1], Rank: 2}, Choose(hosts[3], false, 3*time.Second, []Copy{first, second}))
+	require.Equal(t, Role{Follow: hosts[1], Rank: 2}, Choose(Copy{Host: hosts[3], Age: 3 * time.Second}, []Copy{first, second}))
 	first.Age = 0
-	require.Equal(t, Role{Follow: hosts[0], Rank: 1}, Choose(hosts[1], true, 0, []Copy{first}))
+	require.Equal(t, Role{Follow: hosts[0], Rank: 1}, Choose(Copy{Host: hosts[1], Watching: true}, []Copy{first}))
 }
 
 // Guards against following a host that only follows another: a circle would
 // never learn anything.
 func TestFollowersAreNotFollowed(t *testing.T) {
 	hosts := order(3)
-	require.Equal(t, Role{Rank: 1}, Choose(hosts[1], false, 0, []Copy{{Host: hosts[0], Age: 0}, {Host: hosts[2], Age: 0}}))
+	require.Equal(t, Role{Rank: 1}, Choose(Copy{Host: hosts[1]}, []Copy{{Host: hosts[0], Age: 0}, {Host: hosts[2], Age: 0}}))
 }
 
 // Guards against a whole region that asks a store which is away as often as its
@@ -172,9 +172,22 @@
 				others = append(others, Copy{Host: h, Watching: true, Age: time.Minute})
 			}
 		}
-		r := Choose(self, true, time.Minute, others)
+		r := Choose(Copy{Host: self, Watching: true, Age: time.Minute}, others)
 		require.True(t, r.Watch)
 		require.Equal(t, i, r.Rank)
 		require.Equal(t, i < 2, r.RetryMost() <= time.Second, "host %d", i)
 	}
 }
+
+// Guards against a weak host from which a whole group fetches its copy.
+func TestStrongHostsAskFirst(t *testing.T) {
+	hosts := order(8)
+	var all []Copy
+	for i, h := range hosts {
+		all = append(all, Copy{Host: h, Capacity: map[bool]float64{true: 0.8, false: 0.1}[i >= 6], Age: StaleAfter})
+	}
+	first := all[6]
+	others := append(append([]Copy(nil), all[:6]...), all[7])
+	require.Equal(t, Role{Watch: true}, Choose(first, others))
+	require.Equal(t, 2, Choose(all[0], all[1:]).Rank)
+}
--- a/pkg/core/feed/watchers.go
+++ b/pkg/core/feed/watchers.go
@@ -24,6 +24,9 @@
 	firstRanks      = 2
 	retryFirstRanks = time.Second
 	retryOtherRanks = 4 * time.Second
+	// watcherShare is the share of the largest host's processor time from which
+	// on a host is among the first to ask: all others fetch from it.
+	watcherShare = 0.5
 	// watchName is the key by which the hosts of a region are ordered.
 	watchName = "watch"
 )
@@ -31,6 +34,8 @@
 // Copy tells how old another host's copy of the store is.
 type Copy struct {
 	Host string
+	// Capacity is the processor time of the host in cores.
+	Capacity float64
 	// Watching is set if the host asks the store itself.
 	Watching bool
 	Age      time.Duration
@@ -57,24 +62,22 @@
 }
 
 // Choose decides whether self asks the store or follows another host of its
-// region. The hosts are ordered by rendezvous hashing; the first watcher whose
-// copy is up to date is followed. Without any, the hosts ask the store in turn.
-// age is that of self's copy.
-func Choose(self string, watching bool, age time.Duration, others []Copy) Role {
-	names := []string{self}
+// group. Strong hosts come first, in the order of rendezvous hashing; the first
+// watcher whose copy is up to date is followed. Without any, the hosts ask the
+// store in turn.
+func Choose(self Copy, others []Copy) Role {
 	fresh := map[string]bool{}
 	for _, c := range others {
-		names = append(names, c.Host)
 		fresh[c.Host] = c.Watching && c.Age < StaleAfter
 	}
-	order := rendezvous.Top(watchName, names, len(names))
-	mine := slices.Index(order, self)
+	order := inOrder(append(slices.Clone(others), self))
+	mine := slices.Index(order, self.Host)
 	for _, name := range order[:mine] {
 		if fresh[name] {
 			return Role{Follow: name, Rank: mine}
 		}
 	}
-	if mine == 0 || watching {
+	if mine == 0 || self.Watching {
 		return Role{Watch: true, Rank: mine}
 	}
 	// A host behind in the order has taken over.
@@ -83,5 +86,22 @@
 			return Role{Follow: name, Rank: mine}
 		}
 	}
-	return Role{Rank: mine, Watch: age >= StaleAfter+time.Duration(min(mine-1, turnsMost))*turn}
+	return Role{Rank: mine, Watch: self.Age >= StaleAfter+time.Duration(min(mine-1, turnsMost))*turn}
+}
+
+// inOrder returns the names of the hosts in the order in which they ask.
+func inOrder(hosts []Copy) []string {
+	most := 0.0
+	for _, c := range hosts {
+		most = max(most, c.Capacity)
+	}
+	var strong, weak []string
+	for _, c := range hosts {
+		if c.Capacity >= watcherShare*most {
+			strong = append(strong, c.Host)
+		} else {
+			weak = append(weak, c.Host)
+		}
+	}
+	return append(rendezvous.Top(watchName, strong, len(strong)), rendezvous.Top(watchName, weak, len(weak))...)
 }
--- /dev/null
+++ b/pkg/core/groups/groups_test.go
@@ -0,0 +1,67 @@
+package groups
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// region returns hosts in three failure domains.
+func region(n int) []Host {
+	var out []Host
+	for i := range n {
+		out = append(out, Host{Name: fmt.Sprintf("entry-%d", i), Domain: fmt.Sprintf("a-%d", i%3)})
+	}
+	return out
+}
+
+func others(hosts []Host, self Host) []Host {
+	var out []Host
+	for _, h := range hosts {
+		if h != self {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Guards against hosts that do not hear each other in a region of usual size.
+func TestUsualRegionIsOneGroup(t *testing.T) {
+	hosts := region(wholeMost)
+	for _, self := range hosts {
+		require.Len(t, Of(self, others(hosts, self)), len(hosts)-1)
+	}
+}
+
+// Guards against groups that grow with the region, members that do not know of
+// each other, and hosts that no member of a group tells of the group.
+func TestLargeRegion(t *testing.T) {
+	hosts := region(230)
+	told := map[string]int{}
+	for _, self := range hosts {
+		group := Of(self, others(hosts, self))
+		require.Less(t, len(group), 2*groupMost)
+		require.Greater(t, len(group), groupMost/4)
+		var members, outside []string
+		for _, h := range others(hosts, self) {
+			if group[h.Name] {
+				require.Equal(t, self.Domain, h.Domain)
+				require.True(t, Of(h, others(hosts, h))[self.Name])
+				members = append(members, h.Name)
+			} else {
+				outside = append(outside, h.Name)
+			}
+		}
+		receivers := Receivers(self.Name, members, outside)
+		require.LessOrEqual(t, len(receivers), len(outside)/(len(members)+1)+1)
+		for _, r := range receivers {
+			told[r]++
+		}
+	}
+	groups := map[int]int{}
+	for _, h := range hosts {
+		groups[told[h.Name]]++
+	}
+	require.Len(t, groups, 1, "each host hears of each other group once: %v", groups)
+}
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -30,6 +30,8 @@
 	// lapsed are servers whose entry vanished and that still count until the
 	// given time.
 	lapsed map[string]time.Time
+	// versions count the changes of each pool's servers.
+	versions map[string]int
 	// down is set while the store does not answer; returned is when it last
 	// answered again.
 	down     bool
@@ -38,7 +40,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: map[string]fleet.Server{}, lapsed: map[string]time.Time{}}
+	return &Registry{servers: map[string]fleet.Server{}, lapsed: map[string]time.Time{}, versions: map[string]int{}}
 }
 
 // Observe takes the age of what is known of the store: an old copy means that
@@ -62,7 +64,11 @@
 	for _, s := range list {
 		listed[s.ID] = true
 		addresses[s.Address] = true
-		r.servers[s.ID] = s
+		if old, ok := r.servers[s.ID]; !ok || old != s {
+			r.servers[s.ID] = s
+			r.versions[old.Pool]++
+			r.versions[s.Pool]++
+		}
 		delete(r.lapsed, s.ID)
 	}
 	missing, pools := map[string]int{}, map[string]int{}
@@ -82,17 +88,22 @@
 		mass := missing[s.Pool] >= massLeast && float64(missing[s.Pool]) >= massShare*float64(pools[s.Pool])
 		switch {
 		case s.Draining || addresses[s.Address]:
-			delete(r.servers, id)
+			r.remove(s)
 		case now.Sub(r.returned) < returnTime:
 			r.lapsed[id] = r.returned.Add(returnTime)
 		case mass:
 			r.lapsed[id] = now.Add(massTime)
 		default:
-			delete(r.servers, id)
+			r.remove(s)
 		}
 	}
 }
 
+func (r *Registry) remove(s fleet.Server) {
+	delete(r.servers, s.ID)
+	r.versions[s.Pool]++
+}
+
 // Expire removes servers that did not come back in time and reports whether
 // there were any.
 func (r *Registry) Expire(now time.Time) bool {
@@ -100,13 +111,16 @@
 	for id, until := range r.lapsed {
 		if !now.Before(until) {
 			delete(r.lapsed, id)
-			delete(r.servers, id)
+			r.remove(r.servers[id])
 			changed = true
 		}
 	}
 	return changed
 }
 
+// Version changes with the servers of a pool.
+func (r *Registry) Version(pool string) int { return r.versions[pool] }
+
 // Servers returns the servers by pool.
 func (r *Registry) Servers() map[string][]fleet.Server {
 	out := map[string][]fleet.Server{}
--- a/pkg/core/registry/registry_test.go
+++ b/pkg/core/registry/registry_test.go
@@ -75,3 +75,27 @@
 	}
 	require.Equal(t, map[string]bool{"3": true, "4": true, "9": true}, got)
 }
+
+// Guards against pools that are updated though none of their servers changed,
+// and against changes that are missed.
+func TestVersionChangesWithThePool(t *testing.T) {
+	r := New()
+	now := time.Unix(100, 0)
+	list := []fleet.Server{{ID: "a", Pool: "p", Address: "1"}, {ID: "b", Pool: "q", Address: "2"}}
+	r.Set(now, list)
+	p, q := r.Version("p"), r.Version("q")
+	r.Set(now, list)
+	require.Equal(t, []int{p, q}, []int{r.Version("p"), r.Version("q")})
+	list[0].Draining = true
+	r.Set(now, list)
+	require.NotEqual(t, p, r.Version("p"))
+	require.Equal(t, q, r.Version("q"))
+	p = r.Version("p")
+	r.Set(now, list[1:])
+	require.NotEqual(t, p, r.Version("p"), "the server left")
+	p = r.Version("p")
+	list[1].Pool = "p"
+	r.Set(now, list[1:])
+	require.NotEqual(t, p, r.Version("p"), "the server changed its pool")
+	require.NotEqual(t, q, r.Version("q"))
+}
--- a/pkg/steer/apply.go
+++ b/pkg/steer/apply.go
@@ -68,23 +68,35 @@
 	if t == nil {
 		return
 	}
-	h.registryMu.Lock()
-	servers := h.registry.Servers()
-	h.registryMu.Unlock()
 	now := time.Now()
 	h.poolsMu.Lock()
 	defer h.poolsMu.Unlock()
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
+	var servers map[string][]fleet.Server // made for the first pool that changed
+	update := func(p *pool, row fleet.Pool) {
+		state := poolState{h.registry.Version(row.Name), row, h.cfg()}
+		if p.applied == state {
+			p.wake(now)
+			return
+		}
+		if servers == nil {
+			servers = h.registry.Servers()
+		}
+		p.update(now, servers[row.Name], row)
+		p.applied = state
+	}
 	for _, row := range t.Pools {
 		p := h.pools[row.Name]
 		if p == nil {
 			p = newPool(h, row.Name)
 			h.pools[row.Name] = p
 		}
-		p.update(now, servers[row.Name], row)
+		update(p, row)
 	}
 	for name, p := range h.pools {
 		if t.Pool(name) == nil {
-			p.update(now, servers[name], fleet.Pool{Name: name})
+			update(p, fleet.Pool{Name: name})
 		}
 	}
 }
--- a/pkg/steer/dispatch.go
+++ b/pkg/steer/dispatch.go
@@ -34,7 +34,12 @@
 	// reportHosts is the number of hosts of another region that get a report;
 	// which of them dispatches there is not known here.
 	reportHosts = 2
-	expireEvery = 500 * time.Millisecond
+	// reportServers is the number of servers of a pool whose report is sent each
+	// time; larger reports are sent less often, at least every reportMost, because
+	// they count for a second.
+	reportServers = 128
+	reportMost    = 3
+	expireEvery   = 500 * time.Millisecond
 	// stateEvery is the interval of the log lines about dispatched pools.
 	stateEvery = 2 * time.Second
 )
@@ -80,6 +85,8 @@
 // dispatch holds the open asks of this host and the latest ends.
 type dispatch struct {
 	next atomic.Uint64
+	// reports counts the intervals of the reports; only sendReports uses it.
+	reports int
 
 	mu      sync.Mutex
 	asks    map[uint64]chan *grant
@@ -335,9 +342,10 @@
 // sendReports tells the other regions about the pools that this host
 // dispatches.
 func (h *Host) sendReports(time.Time) {
+	h.dispatch.reports++
 	var list []report
 	h.eachPool(func(p *pool) {
-		if h.dispatches(p.name) {
+		if h.dispatches(p.name) && h.dispatch.reports%p.reportEvery() == 0 {
 			list = append(list, report{Pool: p.name, Region: h.region, Report: p.report()})
 		}
 	})
--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -28,10 +28,16 @@
 	// retryFirst is the first pause after a failed call to the store; the role
 	// bounds the later ones.
 	retryFirst = 100 * time.Millisecond
-	// fetchTimeout bounds the transfer of changes from another host of the
-	// region.
+	// fetchTimeout is how long a transfer of changes from another host may make no
+	// progress. A whole copy takes longer: many hosts fetch it at once.
 	fetchTimeout = 800 * time.Millisecond
+	// readTime is how long the first reading of the published hosts is awaited
+	// before a host asks the store without knowing of others, and startTime how
+	// long published hosts that were not heard count as about to be.
+	readTime     = 500 * time.Millisecond
+	startTime    = 2 * time.Second
 	maxFeedBytes = 4 << 20
+	feedChunk    = 8 << 10 // bytes between two looks at the progress
 	feedPath     = "/v1/feed"
 )
 
@@ -44,12 +50,15 @@
 	cancel   context.CancelFunc // ends the watches of a watcher
 	fetching bool
 	client   *http.Client
+	started  time.Time
 }
 
-func newFollower() *follower {
-	f := &follower{client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+func newFollower(now time.Time) *follower {
+	f := &follower{started: now, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
 	for k := range f.logs {
 		f.logs[k] = feed.NewLog()
+		// The hosts of a group that start together ask the store in turn.
+		f.logs[k].Confirm(now.Add(-feed.StaleAfter))
 	}
 	return f
 }
@@ -86,10 +95,14 @@
 // chooseRole decides whether this host asks the store.
 func (h *Host) chooseRole(now time.Time) {
 	f := h.follow
-	copies := h.peers.copies(now)
+	up := now.Sub(f.started)
+	copies := h.peers.copies(now, up < startTime)
+	if !h.hostsRead.Load() && len(copies) == 0 && up < readTime {
+		return
+	}
 	f.mu.Lock()
 	old := f.role
-	f.role = feed.Choose(h.self.Name, old.Watch, f.ageLocked(now), copies)
+	f.role = feed.Choose(feed.Copy{Host: h.self.Name, Capacity: h.self.Capacity, Watching: old.Watch, Age: f.ageLocked(now)}, copies)
 	role := f.role
 	switch {
 	case role.Watch && !old.Watch:
@@ -307,7 +320,11 @@
 }
 
 func (h *Host) fetchFrom(address string, query url.Values) error {
-	req, err := http.NewRequestWithContext(h.tomb.Context(context.Background()), http.MethodGet, "http://"+address+feedPath+"?"+query.Encode(), nil)
+	ctx, cancel := context.WithCancel(h.tomb.Context(context.Background()))
+	defer cancel()
+	stalled := time.AfterFunc(fetchTimeout, cancel)
+	defer stalled.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+feedPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -317,8 +334,12 @@
 	}
 	defer resp.Body.Close()
 	var raw bytes.Buffer
-	if _, err := io.Copy(&raw, io.LimitReader(resp.Body, maxFeedBytes)); err != nil {
-		return errors.Trace(err)
+	for body := io.LimitReader(resp.Body, maxFeedBytes); ; stalled.Reset(fetchTimeout) {
+		if _, err := io.CopyN(&raw, body, feedChunk); err == io.EOF {
+			break
+		} else if err != nil {
+			return errors.Trace(err)
+		}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", resp.StatusCode)
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -76,6 +76,11 @@
 	forward  *forward.Forwarder
 	metrics  *metrics
 
+	// hostsWanted asks for a reading of the published hosts, and hostsRead is set
+	// after the first one.
+	hostsWanted chan struct{}
+	hostsRead   atomic.Bool
+
 	leaving atomic.Bool
 	// ends is when a shutdown stops the process, once callers' connections are
 	// closed.
@@ -93,7 +98,8 @@
 			Caller: cmp.Or(cfg.Advertise.Caller, cfg.Listen.Caller), Peer: cmp.Or(cfg.Advertise.Peer, cfg.Listen.Peer),
 			Control: cmp.Or(cfg.Advertise.Control, cfg.Listen.Control),
 		},
-		follow: newFollower(), registry: registry.New(), pools: map[string]*pool{},
+		hostsWanted: make(chan struct{}, 1),
+		follow:      newFollower(time.Now()), registry: registry.New(), pools: map[string]*pool{},
 		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}),
 	}
 	h.settings.Store(cfg)
@@ -147,7 +153,6 @@
 		return result.Wrap(err, result.ListenFailed, "listen.peer")
 	}
 	h.startPeers(conn)
-	h.chooseRole(time.Now())
 	h.every(roleTick, h.chooseRole)
 	h.every(registryTick, h.expireServers)
 	h.log.start(h)
--- a/pkg/steer/messages.go
+++ b/pkg/steer/messages.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 )
 
@@ -23,6 +25,25 @@
 	// because datagrams are lost.
 	Done   []done   `cbor:"6,keyasint,omitempty"`
 	Report []report `cbor:"7,keyasint,omitempty"`
+	// Digest tells hosts of other groups which members of the sender's live.
+	Digest []sighting `cbor:"8,keyasint,omitempty"`
+	// Joined are those of them that came lately.
+	Joined []fleet.EntryHost `cbor:"9,keyasint,omitempty"`
+}
+
+// sighting is a host that was heard lately.
+type sighting struct {
+	_ struct{} `cbor:",toarray"`
+	// ID is the host's sightingID.
+	ID uint32
+	// AgeMS is the time since it was heard.
+	AgeMS          uint32
+	Leaving, Ready bool
+}
+
+// sightingID is short for a process of an entry host.
+func sightingID(h fleet.EntryHost) uint32 {
+	return uint32(rendezvous.Weight(strconv.FormatInt(h.Started, 10), h.Name))
 }
 
 // beacon tells the other hosts of the region that this one lives, and what it
@@ -90,7 +111,13 @@
 }
 
 // sendTo writes a datagram. A lost one is made up for by its sender's timer.
-func (h *Host) sendTo(to netip.AddrPort, d *datagram) {
+func (h *Host) sendTo(to netip.AddrPort, d *datagram) { h.sendAll([]netip.AddrPort{to}, d) }
+
+// sendAll writes the same datagram to several hosts.
+func (h *Host) sendAll(to []netip.AddrPort, d *datagram) {
+	if len(to) == 0 {
+		return
+	}
 	d.From, d.Started = h.self.Name, h.self.Started
 	raw, err := cbor.Marshal(d)
 	if err != nil {
@@ -100,7 +127,9 @@
 	if len(raw) > maxDatagram {
 		h.metrics.oversized.Inc()
 	}
-	if _, err := h.udp.WriteToUDPAddrPort(raw, to); err != nil && h.tomb.Alive() {
-		h.log.warn(err, "datagram could not be sent")
+	for _, address := range to {
+		if _, err := h.udp.WriteToUDPAddrPort(raw, address); err != nil && h.tomb.Alive() {
+			h.log.warn(err, "datagram could not be sent")
+		}
 	}
 }
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/groups"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
@@ -20,31 +21,45 @@
 // Times and sizes of the messages between entry hosts.
 const (
 	// beaconEvery is the shortest interval of the beacons to hosts of the same
-	// failure domain, beaconFar of those to the other domains of the region. They
+	// failure domain, beaconFar of those to the other domains of the group. They
 	// grow with the number of hosts, so that a host's cost does not, up to
 	// beaconMost, of which peerLife holds three.
 	beaconEvery   = 60 * time.Millisecond
 	beaconFar     = 120 * time.Millisecond
 	beaconPerHost = 10 * time.Millisecond
 	beaconMost    = 350 * time.Millisecond
-	// peerLife is the time without a beacon after which a host counts as gone.
+	// digestEvery is the interval of the digests to hosts of other groups.
+	digestEvery = 300 * time.Millisecond
+	// peerLife is the time without a beacon after which a host counts as gone,
+	// digestLife that for a host of another group: its last beacon was heard up to
+	// beaconMost before the digest, and digests are lost.
 	peerLife    = 1200 * time.Millisecond
+	digestLife  = 2500 * time.Millisecond
 	maxDatagram = 1400 // bytes, one packet
 	// bufferDatagram takes datagrams that are larger than one packet.
 	bufferDatagram = 64 << 10
+	// joinedTime is how long digests describe a new host in full.
+	joinedTime = 2 * time.Second
 	// hostsFirst and hostsMost bound the interval at which the published hosts
 	// are read; beacons tell of new hosts at once.
 	hostsFirst = 400 * time.Millisecond
 	hostsMost  = 10 * time.Second
+	// hostsLeast is the shortest time between two readings because an unknown
+	// host was sighted.
+	hostsLeast = time.Second
 	// forgetAfter is how long a silent host is kept in the list.
 	forgetAfter = 30 * time.Second
 )
 
 // peerState is what is known of another host.
 type peerState struct {
-	host    fleet.EntryHost
-	addr    netip.AddrPort
-	heard   time.Time // zero until a beacon arrived
+	host  fleet.EntryHost
+	addr  netip.AddrPort
+	heard time.Time // zero until a beacon or a digest arrived
+	// far is set if the host was last heard of by a digest.
+	far bool
+	// known is when its process was first heard of.
+	known   time.Time
 	leaving bool
 	ready   bool
 	// watching, age and versions describe its copy of the store when heard.
@@ -53,18 +68,33 @@
 	versions [feed.Kinds]int64
 }
 
-func (p *peerState) alive(now time.Time) bool { return now.Sub(p.heard) < peerLife }
+// life is the time without news after which the host counts as gone.
+func (p *peerState) life() time.Duration {
+	if p.far {
+		return digestLife
+	}
+	return peerLife
+}
+
+func (p *peerState) alive(now time.Time) bool { return now.Sub(p.heard) < p.life() }
 
 // peers is the list of entry hosts.
 type peers struct {
-	self fleet.EntryHost
+	self    fleet.EntryHost
+	started time.Time
 
 	mu    sync.RWMutex
 	hosts map[string]*peerState
+	// ids are the names of the hosts by sightingID.
+	ids map[uint32]string
+	// group are the names of the other hosts of the own group. It is found anew
+	// by targets once regroup is set.
+	group   map[string]bool
+	regroup bool
 }
 
 func newPeers(self fleet.EntryHost) *peers {
-	return &peers{self: self, hosts: map[string]*peerState{}}
+	return &peers{self: self, started: time.Now(), hosts: map[string]*peerState{}, ids: map[uint32]string{}, group: map[string]bool{}}
 }
 
 // add records a host that was published or heard. The error says that its entry
@@ -81,11 +111,81 @@
 	defer p.mu.Unlock()
 	known := p.hosts[h.Name]
 	if known == nil || known.host.Started < h.Started {
-		p.hosts[h.Name] = &peerState{host: h, addr: addr}
+		if known != nil {
+			delete(p.ids, sightingID(known.host))
+		}
+		p.hosts[h.Name] = &peerState{host: h, addr: addr, known: time.Now()}
+		p.ids[sightingID(h)] = h.Name
+		p.regroup = p.regroup || known == nil && h.Region == p.self.Region
 	}
 	return nil
 }
 
+// findGroup finds the members of the own group if hosts came or went. The caller
+// holds the lock.
+func (p *peers) findGroup() {
+	if !p.regroup {
+		return
+	}
+	p.regroup = false
+	var region []groups.Host
+	for name, s := range p.hosts {
+		if s.host.Region == p.self.Region {
+			region = append(region, groups.Host{Name: name, Domain: s.host.Domain})
+		}
+	}
+	p.group = groups.Of(groups.Host{Name: p.self.Name, Domain: p.self.Domain}, region)
+}
+
+// sight takes a digest and reports whether it names an unknown host.
+func (p *peers) sight(now time.Time, digest []sighting) (unknown bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, d := range digest {
+		s := p.hosts[p.ids[d.ID]]
+		if s == nil {
+			unknown = unknown || d.ID != sightingID(p.self)
+			continue
+		}
+		if at := now.Add(-time.Duration(d.AgeMS) * time.Millisecond); at.After(s.heard) {
+			s.heard, s.far, s.leaving, s.ready = at, !p.group[s.host.Name], d.Leaving, d.Ready
+		}
+	}
+	return unknown
+}
+
+// digest returns the live members of the own group, those of them that came
+// lately, and the addresses of the hosts of other groups that this one tells of
+// them.
+func (p *peers) digest(now time.Time, leaving, ready bool) (seen []sighting, joined []fleet.EntryHost, to []netip.AddrPort) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	seen = []sighting{{ID: sightingID(p.self), Leaving: leaving, Ready: ready}}
+	if now.Sub(p.started) < joinedTime {
+		joined = append(joined, p.self)
+	}
+	var members, outside []string
+	for name, s := range p.hosts {
+		switch {
+		case s.host.Region != p.self.Region:
+		case !p.group[name]:
+			outside = append(outside, name)
+		case s.alive(now) && !s.far:
+			members = append(members, name)
+			seen = append(seen, sighting{
+				ID: sightingID(s.host), AgeMS: uint32(max(now.Sub(s.heard), 0).Milliseconds()), Leaving: s.leaving, Ready: s.ready,
+			})
+			if now.Sub(s.known) < joinedTime {
+				joined = append(joined, s.host)
+			}
+		}
+	}
+	for _, name := range groups.Receivers(p.self.Name, members, outside) {
+		to = append(to, p.hosts[name].addr)
+	}
+	return seen, joined, to
+}
+
 // hear records a beacon.
 func (p *peers) hear(now time.Time, b *beacon) error {
 	if err := p.add(b.Host); err != nil {
@@ -97,20 +197,29 @@
 	if s == nil || s.host.Started > b.Host.Started {
 		return nil // a late beacon of the process before
 	}
-	s.heard, s.leaving, s.ready = now, b.Leaving, b.Ready
+	s.heard, s.far, s.leaving, s.ready = now, false, b.Leaving, b.Ready
 	s.watching, s.age, s.versions = b.Watching, time.Duration(b.AgeMS)*time.Millisecond, b.Versions
 	return nil
 }
 
-// copies returns the copies of the store of the region's other hosts.
-func (p *peers) copies(now time.Time) []feed.Copy {
+// copies returns the copies of the store of the group's other hosts. At the
+// start of the process hosts that were published and not heard yet have an old
+// one.
+func (p *peers) copies(now time.Time, starting bool) []feed.Copy {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	var out []feed.Copy
 	for name, s := range p.hosts {
-		if s.alive(now) && !s.leaving {
-			out = append(out, feed.Copy{Host: name, Watching: s.watching, Age: s.age + now.Sub(s.heard)})
+		c := feed.Copy{Host: name, Capacity: s.host.Capacity}
+		switch {
+		case !p.group[name]:
+			continue
+		case s.alive(now) && !s.far && !s.leaving:
+			c.Watching, c.Age = s.watching, s.age+now.Sub(s.heard)
+		case !starting || !s.heard.IsZero():
+			continue
 		}
+		out = append(out, c)
 	}
 	return out
 }
@@ -132,6 +241,13 @@
 	return len(p.hosts) + 1
 }
 
+// groupSize returns the number of hosts of the own group, this one included.
+func (p *peers) groupSize() int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return len(p.group) + 1
+}
+
 // live returns the hosts of the own region that were heard lately and take
 // callers, this one not included.
 func (p *peers) live(now time.Time) []fleet.EntryHost {
@@ -169,10 +285,11 @@
 	return out
 }
 
-// targets returns the addresses for the beacons of one kind.
+// targets returns the addresses in the own group for the beacons of one kind.
 func (p *peers) targets(now time.Time, near bool) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.findGroup()
 	var out []netip.AddrPort
 	for name, s := range p.hosts {
 		if s.host.Region != p.self.Region || (s.host.Domain == p.self.Domain) != near {
@@ -180,9 +297,27 @@
 		}
 		if !s.heard.IsZero() && now.Sub(s.heard) > forgetAfter {
 			delete(p.hosts, name)
+			delete(p.ids, sightingID(s.host))
+			p.regroup = true
 			continue
 		}
-		out = append(out, s.addr)
+		if p.group[name] {
+			out = append(out, s.addr)
+		}
+	}
+	return out
+}
+
+// outside returns the addresses of those of the named hosts that are not in the
+// own group.
+func (p *peers) outside(names map[string]bool) []netip.AddrPort {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var out []netip.AddrPort
+	for name := range names {
+		if s := p.hosts[name]; s != nil && !p.group[name] {
+			out = append(out, s.addr)
+		}
 	}
 	return out
 }
@@ -193,7 +328,7 @@
 	defer p.mu.RUnlock()
 	var out []string
 	for name, s := range p.hosts {
-		if silence := now.Sub(s.heard) - peerLife; !s.heard.IsZero() && silence >= 0 && silence < since {
+		if silence := now.Sub(s.heard) - s.life(); !s.heard.IsZero() && silence >= 0 && silence < since {
 			out = append(out, name)
 		}
 	}
@@ -210,10 +345,10 @@
 		return udp.Close()
 	})
 	h.tomb.Go(func() error { return h.hearDatagrams(udp) })
-	var near, far time.Time
+	var near, far, digest time.Time
 	h.every(beaconEvery, func(now time.Time) {
 		h.updateView(now)
-		pause := time.Duration(h.view.Load().region) * beaconPerHost
+		pause := time.Duration(h.peers.groupSize()) * beaconPerHost
 		if now.Sub(near) >= min(max(pause, beaconEvery), beaconMost)-beaconEvery/2 {
 			near = now
 			h.sendBeacons(h.peers.targets(now, true))
@@ -222,6 +357,10 @@
 			far = now
 			h.sendBeacons(h.peers.targets(now, false))
 		}
+		if now.Sub(digest) >= digestEvery-beaconEvery/2 {
+			digest = now
+			h.sendDigest(now)
+		}
 		for _, name := range h.peers.silent(now, beaconEvery) {
 			h.log.peerLost(name)
 			h.eachPool(func(p *pool) { p.forget(now, name) })
@@ -235,16 +374,24 @@
 }
 
 func (h *Host) sendBeacons(targets []netip.AddrPort) {
-	if len(targets) == 0 {
-		return
-	}
 	b := beacon{Host: h.self, Leaving: h.leaving.Load(), Ready: h.ready(), Loads: map[string]int{}}
 	dispatchers := h.view.Load().dispatchers
-	h.eachPool(func(p *pool) { p.loads(dispatchers[p.name], b.Loads) })
+	loaded := map[string]bool{} // dispatchers of the pools with loads
+	h.eachPool(func(p *pool) {
+		before := len(b.Loads)
+		if p.loads(dispatchers[p.name], b.Loads); len(b.Loads) > before {
+			loaded[dispatchers[p.name]] = true
+		}
+	})
 	h.follow.describe(time.Now(), &b)
-	for _, t := range targets {
-		h.sendTo(t, &datagram{Beacon: &b})
-	}
+	h.sendAll(append(targets, h.peers.outside(loaded)...), &datagram{Beacon: &b})
+}
+
+// sendDigest tells some hosts of other groups which members of the own one
+// live.
+func (h *Host) sendDigest(now time.Time) {
+	seen, joined, to := h.peers.digest(now, h.leaving.Load(), h.ready())
+	h.sendAll(to, &datagram{Digest: seen, Joined: joined})
 }
 
 // beaconNow tells the region of a change at once.
@@ -289,6 +436,17 @@
 	if d.Report != nil {
 		h.handleReport(d.Report)
 	}
+	for _, host := range d.Joined {
+		if err := h.peers.add(host); err != nil {
+			h.log.warn(err, "digest ignored")
+		}
+	}
+	if d.Digest != nil && h.peers.sight(time.Now(), d.Digest) {
+		select {
+		case h.hostsWanted <- struct{}{}:
+		default: // already wanted
+		}
+	}
 	if d.Beacon != nil {
 		if err := h.peers.hear(time.Now(), d.Beacon); err != nil {
 			h.log.warn(err, "beacon ignored")
@@ -329,20 +487,27 @@
 	}
 }
 
-// readHosts reads the published hosts, less often as time passes.
+// readHosts reads the published hosts, less often as time passes, and when an
+// unknown host was sighted.
 func (h *Host) readHosts() error {
 	ctx := h.tomb.Context(context.Background())
-	for pause := hostsFirst; wait.For(ctx, pause); pause = min(2*pause, hostsMost) {
+	for pause := hostsFirst; ctx.Err() == nil; pause = min(2*pause, hostsMost) {
 		hosts, err := h.source.Hosts(ctx)
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			h.log.warn(err, "the published hosts could not be read")
-			continue
 		}
 		for _, host := range hosts {
 			if err := h.peers.add(host); err != nil {
 				h.log.warn(err, "published host ignored")
 			}
 		}
+		h.hostsRead.Store(true)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		case <-h.hostsWanted:
+			wait.For(ctx, hostsLeast)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/pkg/steer/peers_test.go
@@ -0,0 +1,109 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+// region returns n hosts of three failure domains.
+func region(n int) []fleet.EntryHost {
+	var out []fleet.EntryHost
+	for i := range n {
+		out = append(out, fleet.EntryHost{
+			Name: fmt.Sprintf("entry-%d", i), Domain: fmt.Sprintf("a-%d", i%3), Region: "a", Peer: fmt.Sprintf("127.0.%d.%d:7200", i/200, i%200+1),
+			Caller: "127.0.0.1:80", Started: int64(i + 1),
+		})
+	}
+	return out
+}
+
+// knows returns the list of self, which knows the published hosts.
+func knows(t *testing.T, self fleet.EntryHost, hosts []fleet.EntryHost) *peers {
+	t.Helper()
+	p := newPeers(self)
+	for _, h := range hosts {
+		require.NoError(t, p.add(h))
+	}
+	return p
+}
+
+// gossip lets the members of all groups hear each other's beacons and passes
+// digests on, for the hosts that live.
+func gossip(t *testing.T, now time.Time, lists map[string]*peers, hosts []fleet.EntryHost) {
+	t.Helper()
+	byAddress := map[string]*peers{}
+	for _, h := range hosts {
+		byAddress[h.Peer] = lists[h.Name]
+	}
+	for _, h := range hosts {
+		for _, near := range []bool{true, false} {
+			for _, to := range lists[h.Name].targets(now, near) {
+				if other := byAddress[to.String()]; other != nil {
+					require.NoError(t, other.hear(now, &beacon{Host: h, Ready: true}))
+				}
+			}
+		}
+	}
+	for _, h := range hosts {
+		seen, joined, to := lists[h.Name].digest(now, false, true)
+		for _, address := range to {
+			other := byAddress[address.String()]
+			if other == nil {
+				continue
+			}
+			for _, j := range joined {
+				require.NoError(t, other.add(j))
+			}
+			other.sight(now, seen)
+		}
+	}
+}
+
+// Guards against hosts of other groups that are not known to live, that count as
+// alive after their end, and against messages that grow with the region.
+func TestDigestsBetweenGroups(t *testing.T) {
+	hosts := region(200)
+	lists := map[string]*peers{}
+	for _, h := range hosts {
+		lists[h.Name] = knows(t, h, hosts)
+	}
+	now := time.Now()
+	gossip(t, now, lists, hosts)
+	for _, h := range hosts {
+		require.Equal(t, len(hosts)-1, len(lists[h.Name].live(now)))
+		require.Less(t, lists[h.Name].groupSize(), 50)
+	}
+	// Two hosts end, one of them starts again as another process.
+	gone, again := hosts[0], hosts[1]
+	again.Started = 1000
+	rest := append([]fleet.EntryHost{again}, hosts[2:]...)
+	lists[again.Name] = knows(t, again, hosts)
+	for step := 0; step < 12; step++ {
+		now = now.Add(digestEvery)
+		gossip(t, now, lists, rest)
+	}
+	for _, h := range rest {
+		live := lists[h.Name].live(now)
+		require.Equal(t, len(rest)-1, len(live), h.Name)
+		for _, other := range live {
+			require.NotEqual(t, gone.Name, other.Name)
+			if other.Name == again.Name {
+				require.Equal(t, again.Started, other.Started)
+			}
+		}
+	}
+}
+
+// Guards against a sighting of an unknown host that is not looked up.
+func TestUnknownHostIsNoticed(t *testing.T) {
+	hosts := region(60)
+	p := knows(t, hosts[0], hosts[:59])
+	now := time.Now()
+	require.False(t, p.sight(now, []sighting{{ID: sightingID(hosts[5])}, {ID: sightingID(hosts[0])}}))
+	require.True(t, p.sight(now, []sighting{{ID: sightingID(hosts[59])}}))
+}
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -31,6 +31,15 @@
 	waiters map[placing.Ref]func(placing.Placement)
 	// own are the servers of this host's sends and who granted them.
 	own map[uint64]ownFlight
+	// applied is what the servers were last taken from; Host.poolsMu guards it.
+	applied poolState
+}
+
+// poolState is what the servers of a pool depend on.
+type poolState struct {
+	servers  int // version of the registry
+	row      fleet.Pool
+	settings *Settings
 }
 
 type ownFlight struct {
@@ -64,6 +73,13 @@
 	p.deliver(p.place.Wake(now))
 }
 
+// wake offers free slots to the waiting requests.
+func (p *pool) wake(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deliver(p.place.Wake(now))
+}
+
 // offer places a request. If all servers are busy, the request waits and offer
 // returns true; deliver is called once in any case.
 func (p *pool) offer(now time.Time, ref placing.Ref, need placing.Need, deadline time.Time, deliver func(placing.Placement)) (queued bool) {
@@ -253,6 +269,13 @@
 	p.place.Told(time.Now(), region, r)
 }
 
+// reportEvery is the number of intervals from one report to the next.
+func (p *pool) reportEvery() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(1+p.place.OwnServers()/reportServers, reportMost)
+}
+
 func (p *pool) report() placing.Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
