Describe the sender in a beacon only while a host is new

Cause: each beacon carried the sender's name, domain, region, three addresses, capacity and start, 100 times a second in a large group.

A beacon describes its sender for 2 s after a process of the region was first heard of, and otherwise once a second; a host that hears an unknown process answers with a description of itself.

--- a/pkg/steer/messages.go
+++ b/pkg/steer/messages.go
@@ -49,9 +49,10 @@
 // beacon tells the other hosts of the region that this one lives, and what it
 // has in progress.
 type beacon struct {
-	Host    fleet.EntryHost `cbor:"1,keyasint"`
-	Leaving bool            `cbor:"2,keyasint"`
-	Ready   bool            `cbor:"3,keyasint"`
+	// Host describes the sender while it or a receiver is new, and now and then.
+	Host    *fleet.EntryHost `cbor:"1,keyasint,omitempty"`
+	Leaving bool             `cbor:"2,keyasint,omitempty"`
+	Ready   bool             `cbor:"3,keyasint,omitempty"`
 	// Loads are the requests in progress, by server, that no dispatcher knows.
 	Loads map[string]int `cbor:"4,keyasint,omitempty"`
 	// Watching, AgeMS and Versions describe the host's copy of the store.
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -38,8 +38,10 @@
 	maxDatagram = 1400 // bytes, one packet
 	// bufferDatagram takes datagrams that are larger than one packet.
 	bufferDatagram = 64 << 10
-	// joinedTime is how long digests describe a new host in full.
-	joinedTime = 2 * time.Second
+	// joinedTime is how long beacons and digests describe hosts because one is
+	// new, and describeEvery the interval of the descriptions otherwise.
+	joinedTime    = 2 * time.Second
+	describeEvery = time.Second
 	// hostsFirst and hostsMost bound the interval at which the published hosts
 	// are read; beacons tell of new hosts at once.
 	hostsFirst = 400 * time.Millisecond
@@ -91,10 +93,12 @@
 	// by targets once regroup is set.
 	group   map[string]bool
 	regroup bool
+	// newest is when a process of the region was last heard of for the first time.
+	newest time.Time
 }
 
 func newPeers(self fleet.EntryHost) *peers {
-	return &peers{self: self, started: time.Now(), hosts: map[string]*peerState{}, ids: map[uint32]string{}, group: map[string]bool{}}
+	return &peers{self: self, started: time.Now(), newest: time.Now(), hosts: map[string]*peerState{}, ids: map[uint32]string{}, group: map[string]bool{}}
 }
 
 // add records a host that was published or heard. The error says that its entry
@@ -116,7 +120,10 @@
 		}
 		p.hosts[h.Name] = &peerState{host: h, addr: addr, known: time.Now()}
 		p.ids[sightingID(h)] = h.Name
-		p.regroup = p.regroup || known == nil && h.Region == p.self.Region
+		if h.Region == p.self.Region {
+			p.newest = time.Now()
+			p.regroup = p.regroup || known == nil
+		}
 	}
 	return nil
 }
@@ -186,20 +193,34 @@
 	return seen, joined, to
 }
 
-// hear records a beacon.
-func (p *peers) hear(now time.Time, b *beacon) error {
-	if err := p.add(b.Host); err != nil {
-		return err
+// hear records a beacon of a host's process. It reports whether the process is
+// known: a beacon does not always describe its sender.
+func (p *peers) hear(now time.Time, from string, started int64, b *beacon) (known bool, err error) {
+	if b.Host != nil {
+		if err := p.add(*b.Host); err != nil {
+			return false, err
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.hosts[b.Host.Name]
-	if s == nil || s.host.Started > b.Host.Started {
-		return nil // a late beacon of the process before
+	s := p.hosts[from]
+	if s == nil || s.host.Started < started {
+		return false, nil
+	}
+	if s.host.Started > started {
+		return true, nil // a late beacon of the process before
 	}
 	s.heard, s.far, s.leaving, s.ready = now, false, b.Leaving, b.Ready
 	s.watching, s.age, s.versions = b.Watching, time.Duration(b.AgeMS)*time.Millisecond, b.Versions
-	return nil
+	return true, nil
+}
+
+// joining reports whether this host or another one of the region is new, so
+// that beacons have to describe their senders.
+func (p *peers) joining(now time.Time) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return now.Sub(p.newest) < joinedTime
 }
 
 // copies returns the copies of the store of the group's other hosts. At the
@@ -345,20 +366,25 @@
 		return udp.Close()
 	})
 	h.tomb.Go(func() error { return h.hearDatagrams(udp) })
-	var near, far, digest time.Time
+	var near, far, digest, nearFull, farFull time.Time
 	h.every(beaconEvery, func(now time.Time) {
 		h.updateView(now)
 		pause := time.Duration(h.peers.groupSize()) * beaconPerHost
-		if now.Sub(near) >= min(max(pause, beaconEvery), beaconMost)-beaconEvery/2 {
-			near = now
-			h.sendBeacons(h.peers.targets(now, true))
+		// due reports whether an interval has passed since the time, which it then sets.
+		due := func(last *time.Time, interval time.Duration) bool {
+			if now.Sub(*last) < interval-beaconEvery/2 {
+				return false
+			}
+			*last = now
+			return true
+		}
+		if due(&near, min(max(pause, beaconEvery), beaconMost)) {
+			h.sendBeacons(h.peers.targets(now, true), due(&nearFull, describeEvery))
 		}
-		if now.Sub(far) >= min(max(pause, beaconFar), beaconMost)-beaconEvery/2 {
-			far = now
-			h.sendBeacons(h.peers.targets(now, false))
+		if due(&far, min(max(pause, beaconFar), beaconMost)) {
+			h.sendBeacons(h.peers.targets(now, false), due(&farFull, describeEvery))
 		}
-		if now.Sub(digest) >= digestEvery-beaconEvery/2 {
-			digest = now
+		if due(&digest, digestEvery) {
 			h.sendDigest(now)
 		}
 		for _, name := range h.peers.silent(now, beaconEvery) {
@@ -373,8 +399,13 @@
 	h.tomb.Go(h.readHosts)
 }
 
-func (h *Host) sendBeacons(targets []netip.AddrPort) {
-	b := beacon{Host: h.self, Leaving: h.leaving.Load(), Ready: h.ready(), Loads: map[string]int{}}
+// sendBeacons tells hosts that this one lives. A full beacon describes it.
+func (h *Host) sendBeacons(targets []netip.AddrPort, full bool) {
+	now := time.Now()
+	b := beacon{Leaving: h.leaving.Load(), Ready: h.ready(), Loads: map[string]int{}}
+	if full || h.peers.joining(now) {
+		b.Host = &h.self
+	}
 	dispatchers := h.view.Load().dispatchers
 	loaded := map[string]bool{} // dispatchers of the pools with loads
 	h.eachPool(func(p *pool) {
@@ -383,7 +414,7 @@
 			loaded[dispatchers[p.name]] = true
 		}
 	})
-	h.follow.describe(time.Now(), &b)
+	h.follow.describe(now, &b)
 	h.sendAll(append(targets, h.peers.outside(loaded)...), &datagram{Beacon: &b})
 }
 
@@ -397,7 +428,7 @@
 // beaconNow tells the region of a change at once.
 func (h *Host) beaconNow() {
 	now := time.Now()
-	h.sendBeacons(append(h.peers.targets(now, true), h.peers.targets(now, false)...))
+	h.sendBeacons(append(h.peers.targets(now, true), h.peers.targets(now, false)...), false)
 }
 
 // hearDatagrams handles what other hosts send, one datagram at a time.
@@ -448,10 +479,16 @@
 		}
 	}
 	if d.Beacon != nil {
-		if err := h.peers.hear(time.Now(), d.Beacon); err != nil {
+		known, err := h.peers.hear(time.Now(), d.From, d.Started, d.Beacon)
+		if err != nil {
 			h.log.warn(err, "beacon ignored")
 			return
 		}
+		if !known {
+			// The sender learns of this host and then describes itself.
+			h.sendBeacons([]netip.AddrPort{addr}, true)
+			return
+		}
 		h.takeLoads(d.From, d.Beacon.Loads)
 		if h.follow.follows(d.From) {
 			h.fetch(time.Now(), d.From)
--- a/pkg/steer/peers_test.go
+++ b/pkg/steer/peers_test.go
@@ -44,7 +44,9 @@
 		for _, near := range []bool{true, false} {
 			for _, to := range lists[h.Name].targets(now, near) {
 				if other := byAddress[to.String()]; other != nil {
-					require.NoError(t, other.hear(now, &beacon{Host: h, Ready: true}))
+					known, err := other.hear(now, h.Name, h.Started, &beacon{Host: &h, Ready: true})
+					require.NoError(t, err)
+					require.True(t, known)
 				}
 			}
 		}
@@ -107,3 +109,29 @@
 	require.False(t, p.sight(now, []sighting{{ID: sightingID(hosts[5])}, {ID: sightingID(hosts[0])}}))
 	require.True(t, p.sight(now, []sighting{{ID: sightingID(hosts[59])}}))
 }
+
+// Guards against beacons without a description that count for another process
+// of that name, or for nobody without a word to the sender.
+func TestBeaconsWithoutDescription(t *testing.T) {
+	hosts := region(3)
+	self, other := hosts[0], hosts[1]
+	p := newPeers(self)
+	now := time.Now()
+	hear := func(started int64, described *fleet.EntryHost) bool {
+		known, err := p.hear(now, other.Name, started, &beacon{Host: described, Ready: true})
+		require.NoError(t, err)
+		return known
+	}
+	require.False(t, hear(other.Started, nil), "the sender was never described")
+	require.Empty(t, p.live(now))
+	require.True(t, hear(other.Started, &other))
+	require.Len(t, p.live(now), 1)
+	require.True(t, p.joining(now), "other hosts have to hear of the new one")
+	require.False(t, p.joining(now.Add(joinedTime+time.Second)))
+	now = now.Add(time.Minute)
+	require.True(t, hear(other.Started-1, nil), "a late beacon of the process before")
+	require.Empty(t, p.live(now))
+	require.False(t, hear(other.Started+1, nil), "a new process that was not described")
+	require.True(t, hear(other.Started, nil))
+	require.Len(t, p.live(now), 1)
+}
