Send reports between regions to the dispatcher that sent the last one

Cause: a report goes to the two hosts that are first in line to dispatch the pool in the other region, because which of them does is not known there. It is known from its own reports.

Without a report for 1 s both hosts get them as before (TestReportsGoToTheDispatcher).

--- a/pkg/steer/dispatch.go
+++ b/pkg/steer/dispatch.go
@@ -31,9 +31,12 @@
 	doneRepeats = 3
 	// reportEvery is the interval of the reports to other regions.
 	reportEvery = 200 * time.Millisecond
-	// reportHosts is the number of hosts of another region that get a report;
-	// which of them dispatches there is not known here.
+	// reportHosts is the number of hosts of another region that get a report
+	// while it is not known which of them dispatches there.
 	reportHosts = 2
+	// reporterLife is how long the sender of a report counts as its region's
+	// dispatcher; it sends the next ones within reportMost intervals.
+	reporterLife = time.Second
 	// reportServers is the number of servers of a pool whose report is sent each
 	// time; larger reports are sent less often, at least every reportMost, because
 	// they count for a second.
@@ -92,10 +95,22 @@
 	asks    map[uint64]chan *grant
 	tripped map[string]time.Time
 	recent  map[string][]done
+	// reporters are the hosts of other regions that sent the last reports.
+	reporters map[reporterKey]reporter
+}
+
+// reporterKey names a pool in a region.
+type reporterKey struct {
+	pool, region string
+}
+
+type reporter struct {
+	host string
+	at   time.Time
 }
 
 func newDispatch(started int64) *dispatch {
-	d := &dispatch{asks: map[uint64]chan *grant{}, tripped: map[string]time.Time{}, recent: map[string][]done{}}
+	d := &dispatch{asks: map[uint64]chan *grant{}, tripped: map[string]time.Time{}, recent: map[string][]done{}, reporters: map[reporterKey]reporter{}}
 	// Ids of a restarted process must not meet those of the one before it.
 	d.next.Store(uint64(started) << 20)
 	return d
@@ -350,14 +365,29 @@
 		}
 	})
 	for _, r := range list {
-		for _, to := range h.peers.elsewhere(r.Pool, reportHosts) {
-			h.sendTo(to, &datagram{Report: []report{r}})
+		h.sendAll(h.peers.elsewhere(r.Pool, reportHosts, h.dispatch.reportersOf(time.Now(), r.Pool)), &datagram{Report: []report{r}})
+	}
+}
+
+// reportersOf returns the dispatchers of a pool in other regions, by region, as
+// far as they sent a report lately.
+func (d *dispatch) reportersOf(now time.Time, pool string) map[string]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]string{}
+	for key, r := range d.reporters {
+		if key.pool == pool && now.Sub(r.at) < reporterLife {
+			out[key.region] = r.host
 		}
 	}
+	return out
 }
 
-func (h *Host) handleReport(list []report) {
+func (h *Host) handleReport(from string, list []report) {
 	for _, r := range list {
+		h.dispatch.mu.Lock()
+		h.dispatch.reporters[reporterKey{r.Pool, r.Region}] = reporter{from, time.Now()}
+		h.dispatch.mu.Unlock()
 		if p := h.pool(r.Pool); p != nil && r.Region != h.region {
 			p.told(r.Region, r.Report)
 		}
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -283,9 +283,9 @@
 	return out
 }
 
-// elsewhere returns the addresses of up to n hosts in each other region, those
-// that are first in line to dispatch the pool.
-func (p *peers) elsewhere(pool string, n int) []netip.AddrPort {
+// elsewhere returns the address of the pool's dispatcher in each other region,
+// or those of the n hosts that are first in line to dispatch it.
+func (p *peers) elsewhere(pool string, n int, dispatchers map[string]string) []netip.AddrPort {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	regions := map[string][]rendezvous.Choice{}
@@ -295,7 +295,11 @@
 		}
 	}
 	var out []netip.AddrPort
-	for _, list := range regions {
+	for region, list := range regions {
+		if s := p.hosts[dispatchers[region]]; s != nil {
+			out = append(out, s.addr)
+			continue
+		}
 		list = rendezvous.Strong(list, dispatcherShare)
 		for range min(n, len(list)) {
 			first := rendezvous.PickWeighted(pool, list)
@@ -465,7 +469,7 @@
 		h.handleGrant(d.From, d.Grant)
 	}
 	if d.Report != nil {
-		h.handleReport(d.Report)
+		h.handleReport(d.From, d.Report)
 	}
 	for _, host := range d.Joined {
 		if err := h.peers.add(host); err != nil {
--- a/pkg/steer/peers_test.go
+++ b/pkg/steer/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -135,3 +137,30 @@
 	require.True(t, hear(other.Started, nil))
 	require.Len(t, p.live(now), 1)
 }
+
+// Guards against reports to hosts that do not dispatch, and against a region
+// without reports after its dispatcher is gone.
+func TestReportsGoToTheDispatcher(t *testing.T) {
+	hosts := region(12)
+	for i := 6; i < 12; i++ {
+		hosts[i].Region, hosts[i].Domain, hosts[i].Capacity = "b", "b-1", 1
+	}
+	p := knows(t, hosts[0], hosts)
+	first := p.elsewhere("p", 2, nil)
+	require.Len(t, first, 2)
+	d := newDispatch(1)
+	now := time.Now()
+	d.reporters[reporterKey{"p", "b"}] = reporter{"entry-9", now}
+	require.Equal(t, []string{hosts[9].Peer}, addresses(p.elsewhere("p", 2, d.reportersOf(now.Add(reporterLife-1), "p"))))
+	require.Equal(t, addresses(first), addresses(p.elsewhere("p", 2, d.reportersOf(now.Add(reporterLife), "p"))))
+	require.Len(t, p.elsewhere("q", 2, d.reportersOf(now, "q")), 2)
+}
+
+func addresses(list []netip.AddrPort) []string {
+	var out []string
+	for _, a := range list {
+		out = append(out, a.String())
+	}
+	slices.Sort(out)
+	return out
+}
