Ask a store that is away for all only twice from hosts behind in the order

Cause: the store refused everybody for 8 s; in turn, within 3.2 s, all 97 hosts took it that the ones before them might be refused alone and each asked three kinds of objects after 0.1, 0.2, 0.4, 0.8, 1.6 and 3.2 s.

A host behind the first two that the store has never answered now waits 4 s after its first call, and the turns of a group last up to 4.8 s more instead of 1.6 s. Ruled out: not asking at all, because the store may refuse the first hosts alone.

--- a/pkg/core/feed/feed_test.go
+++ b/pkg/core/feed/feed_test.go
@@ -145,7 +145,7 @@
 	require.False(t, role(hosts[2], StaleAfter).Watch)
 	require.True(t, role(hosts[2], StaleAfter+turn).Watch)
 	require.False(t, role(hosts[7], StaleAfter+turn).Watch)
-	require.True(t, role(hosts[7], StaleAfter+turnsMost*turn).Watch)
+	require.True(t, role(hosts[7], StaleAfter+6*turn).Watch)
 	// Once the second one has an up to date copy, the others follow it, until
 	// the first one has one again.
 	second := Copy{Host: hosts[1], Watching: true, Age: 0}
@@ -191,3 +191,46 @@
 	require.Equal(t, Role{Watch: true}, Choose(first, others))
 	require.Equal(t, 2, Choose(all[0], all[1:]).Rank)
 }
+
+// Guards against a group whose hosts all ask a store that is away, many times
+// each: every call is paid for, refused ones too.
+func TestCallsOfAGroupDuringAnOutage(t *testing.T) {
+	const (
+		hosts  = 32
+		outage = 8 * time.Second
+		step   = 100 * time.Millisecond
+	)
+	names := order(hosts)
+	roles := make([]Role, hosts)
+	due, pauses, calls := make([]time.Duration, hosts), make([]time.Duration, hosts), make([]int, hosts)
+	for now := time.Duration(0); now < outage; now += step {
+		for i, self := range names {
+			var others []Copy
+			for j, name := range names {
+				if j != i {
+					others = append(others, Copy{Host: name, Watching: roles[j].Watch, Age: now})
+				}
+			}
+			before := roles[i]
+			roles[i] = Choose(Copy{Host: self, Watching: before.Watch, Age: now}, others)
+			if !roles[i].Watch || now < due[i] {
+				continue
+			}
+			calls[i]++
+			if !before.Watch {
+				pauses[i] = roles[i].RetryFirst(i == 0)
+			}
+			due[i] = now + pauses[i]
+			pauses[i] = min(2*pauses[i], roles[i].RetryMost())
+		}
+	}
+	total := 0
+	for i, n := range calls {
+		total += n
+		if i >= firstRanks {
+			require.LessOrEqual(t, n, 2, "host %d", i)
+		}
+	}
+	require.Greater(t, calls[0], 5, "the first host finds the store again soon")
+	t.Logf("%d calls of each kind in %s", total, outage)
+}
--- a/pkg/core/feed/watchers.go
+++ b/pkg/core/feed/watchers.go
@@ -18,10 +18,11 @@
 	// turn is the time by which the hosts of a region that take over for a
 	// watcher follow each other, so that not all of them ask at once.
 	turn = 200 * time.Millisecond
-	// turnsMost bounds the turns that the last host of a large region waits.
-	turnsMost = 8
+	// turnsMost bounds the turns that the last host of a large group waits.
+	turnsMost = 24
 	// firstRanks is the number of hosts that ask a failing store often.
 	firstRanks      = 2
+	retrySoon       = 100 * time.Millisecond
 	retryFirstRanks = time.Second
 	retryOtherRanks = 4 * time.Second
 	// watcherShare is the share of the largest host's processor time from which
@@ -51,6 +52,17 @@
 	Rank int
 }
 
+// RetryFirst is the pause after the first failed call of a watcher, which doubles
+// with each failure up to RetryMost. answered tells whether the store has
+// answered this watcher: hosts behind in the order that it never answered take
+// it that it is away for all.
+func (r Role) RetryFirst(answered bool) time.Duration {
+	if r.Rank < firstRanks || answered {
+		return retrySoon
+	}
+	return r.RetryMost()
+}
+
 // RetryMost is the longest pause between calls of a watcher to a store that
 // fails. The first hosts of a region ask often; the others only make sure that
 // a store which turns the first ones away is found.
--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -25,9 +25,6 @@
 	// eventPause is the time between a change and the next watch, so that changes
 	// in quick succession cost one call; it delays them by as much.
 	eventPause = 150 * time.Millisecond
-	// retryFirst is the first pause after a failed call to the store; the role
-	// bounds the later ones.
-	retryFirst = 100 * time.Millisecond
 	// fetchTimeout is how long a transfer of changes from another host may make no
 	// progress. A whole copy takes longer: many hosts fetch it at once.
 	fetchTimeout = 800 * time.Millisecond
@@ -126,7 +123,7 @@
 // watchStore follows one kind at the store until ctx ends. Lost history and
 // errors end a watch, and a new list repairs what was missed.
 func (h *Host) watchStore(ctx context.Context, kind feed.Kind) {
-	pause := retryFirst
+	pause := h.follow.currentRole().RetryFirst(false)
 	whole := h.follow.revision(kind) == 0
 	for ctx.Err() == nil {
 		complete := time.Now()
@@ -151,10 +148,10 @@
 			if !wait.For(ctx, pause/2+rand.N(pause)) {
 				return
 			}
-			pause = min(2*pause, h.follow.retryMost())
+			pause = min(2*pause, h.follow.currentRole().RetryMost())
 			continue
 		}
-		pause, whole = retryFirst, false
+		pause, whole = h.follow.currentRole().RetryFirst(true), false
 		h.storeAnswered(kind)
 		h.take(kind, changes, complete)
 		if len(changes.Items) > 0 && !wait.For(ctx, eventPause) {
@@ -226,10 +223,10 @@
 	return f.role.Follow == host
 }
 
-func (f *follower) retryMost() time.Duration {
+func (f *follower) currentRole() feed.Role {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.role.RetryMost()
+	return f.role
 }
 
 func (f *follower) revision(kind feed.Kind) int64 {
