Take the newest copy of a peer while nobody reaches the store

Cause: a host follows only a peer whose copy is up to date; in an outage of more than 1.6 s no copy is, so a restarted host waited for the store. A rolling restart of all hosts in a long outage would have left nobody with tables.

A host that follows nobody now fetches from the peer of its group whose copy is the furthest ahead. TestRestartDuringAnOutage failed before (h2 not ready within 3 s).

--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -115,8 +115,13 @@
 	if role.Watch != old.Watch || role.Follow != old.Follow {
 		h.log.role(role)
 	}
-	if role.Follow != "" {
-		h.fetch(now, role.Follow)
+	from := role.Follow
+	if from == "" {
+		// While nobody reaches the store, the newest copy of a peer is the best.
+		from = h.peers.ahead(now, f.revisions())
+	}
+	if from != "" {
+		h.fetch(now, from)
 	}
 }
 
@@ -229,6 +234,13 @@
 	return f.role
 }
 
+func (f *follower) revisions() (out [feed.Kinds]int64) {
+	for k := range out {
+		out[k] = f.revision(feed.Kind(k))
+	}
+	return out
+}
+
 func (f *follower) revision(kind feed.Kind) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -711,3 +711,22 @@
 	require.NotEmpty(t, w.Header().Get("Retry-After"))
 	require.Equal(t, 3, servers["s1"].count())
 }
+
+// Guards against a host that is restarted while the store is away for long and
+// waits for the store, although its peers have the tables.
+func TestRestartDuringAnOutage(t *testing.T) {
+	source := newSource()
+	putTable(source, 7)
+	putServer(source, newTestServer(t, "s1", ok), "a-1")
+	h1 := startHost(t, source, "h1", "a-1")
+	ready(t, h1, 1)
+	source.setDown(true)
+	require.Eventually(t, func() bool { return h1.follow.age(time.Now()) > 2*feed.StaleAfter }, patience, 20*time.Millisecond)
+	// Whichever of them comes first in the order.
+	for _, name := range []string{"h2", "h3", "h4"} {
+		h := startHost(t, source, name, "a-1")
+		require.Eventually(t, func() bool { return h.ready() && h.Dump().Servers["p"] == 1 }, 3*time.Second, 5*time.Millisecond, name)
+		status, _, _ := get(t, h, "GET", "/safe/")
+		require.Equal(t, http.StatusOK, status)
+	}
+}
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -245,6 +245,27 @@
 	return out
 }
 
+// ahead returns the host of the group whose copy of the store is the furthest
+// ahead of the given revisions, or "" if there is none.
+func (p *peers) ahead(now time.Time, revisions [feed.Kinds]int64) string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	best, most := "", int64(0)
+	for name, s := range p.hosts {
+		if !p.group[name] || !s.alive(now) || s.far || s.leaving {
+			continue
+		}
+		lead := int64(0)
+		for k, version := range s.versions {
+			lead += max(version-revisions[k], 0)
+		}
+		if lead > most || lead == most && lead > 0 && name < best {
+			best, most = name, lead
+		}
+	}
+	return best
+}
+
 // get returns what is known of a host.
 func (p *peers) get(name string) (peerState, bool) {
 	p.mu.RLock()
