Take the tables of another region while the store is away

Cause: after a loss of a whole region in an outage of the store its hosts come back without tables, and nobody in the region has any. They know no host, since the list of hosts is in the store, too.

The dispatchers of other regions go on sending reports. A host without tables that gets a datagram of a host it does not know answers with a beacon, gets one back and fetches that host's copy. Hosts of other regions stay out of look-ups and dispatching. TestRegionRestartDuringAnOutage failed before.

--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -37,7 +37,9 @@
 	hosts    map[string]fleet.EntryHost
 	changed  chan struct{}
 	down     bool
-	calls    atomic.Int64
+	// hidden leaves the published hosts unread while the source is down.
+	hidden bool
+	calls  atomic.Int64
 }
 
 func newSource() *memorySource {
@@ -109,6 +111,9 @@
 func (s *memorySource) Hosts(context.Context) ([]fleet.EntryHost, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down && s.hidden {
+		return nil, io.ErrUnexpectedEOF
+	}
 	var out []fleet.EntryHost
 	for _, h := range s.hosts {
 		out = append(out, h)
@@ -730,3 +735,26 @@
 		require.Equal(t, http.StatusOK, status)
 	}
 }
+
+// Guards against a region that waits for the store after all of its hosts were
+// restarted, although another region has the tables.
+func TestRegionRestartDuringAnOutage(t *testing.T) {
+	source := newSource()
+	source.hidden = true
+	putTable(source, 7)
+	putServer(source, newTestServer(t, "s1", ok), "a-1")
+	h1 := startHost(t, source, "h1", "a-1")
+	ready(t, h1, 1)
+	h2 := startHost(t, source, "h2", "b-1")
+	ready(t, h2, 1)
+	require.Eventually(t, func() bool { return len(h1.peers.elsewhere("p", 1, nil)) == 1 }, patience, 5*time.Millisecond)
+	require.NoError(t, h2.Stop())
+	source.setDown(true)
+	require.Eventually(t, func() bool { return h1.follow.age(time.Now()) > 2*feed.StaleAfter }, patience, 20*time.Millisecond)
+	again := New(h2.cfg(), testNames, source, &log.Logger{Level: log.WarnLevel, Writer: log.IOWriter{Writer: io.Discard}})
+	require.NoError(t, again.Start())
+	t.Cleanup(func() { _ = again.Stop() })
+	require.Eventually(t, func() bool { return again.ready() && again.Dump().Servers["p"] == 1 }, 3*time.Second, 5*time.Millisecond)
+	require.Empty(t, again.peers.live(time.Now()), "hosts of another region are no peers")
+	require.Empty(t, h1.peers.live(time.Now()), "hosts of another region are no peers")
+}
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -245,14 +245,16 @@
 	return out
 }
 
-// ahead returns the host of the group whose copy of the store is the furthest
-// ahead of the given revisions, or "" if there is none.
+// ahead returns the host whose copy of the store is the furthest ahead of the
+// given revisions, or "" if there is none. A host without any copy takes that of
+// another region, too.
 func (p *peers) ahead(now time.Time, revisions [feed.Kinds]int64) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	best, most := "", int64(0)
 	for name, s := range p.hosts {
-		if !p.group[name] || !s.alive(now) || s.far || s.leaving {
+		abroad := s.host.Region != p.self.Region && revisions[feed.Tables] == 0
+		if !p.group[name] && !abroad || !s.alive(now) || s.far || s.leaving {
 			continue
 		}
 		lead := int64(0)
@@ -297,7 +299,7 @@
 	defer p.mu.RUnlock()
 	var out []fleet.EntryHost
 	for _, s := range p.hosts {
-		if s.alive(now) && s.ready && !s.leaving {
+		if s.host.Region == p.self.Region && s.alive(now) && s.ready && !s.leaving {
 			out = append(out, s.host)
 		}
 	}
@@ -480,6 +482,11 @@
 }
 
 func (h *Host) handleDatagram(addr netip.AddrPort, d *datagram) {
+	_, known := h.peers.get(d.From)
+	if !known && d.Beacon == nil && h.table.Load() == nil {
+		// Another region sends reports here. It has tables, and the store may be away.
+		h.sendBeacons([]netip.AddrPort{addr}, true)
+	}
 	if d.Done != nil {
 		h.handleDone(d.From, d.Done)
 	}
@@ -504,16 +511,21 @@
 		}
 	}
 	if d.Beacon != nil {
-		known, err := h.peers.hear(time.Now(), d.From, d.Started, d.Beacon)
+		heard, err := h.peers.hear(time.Now(), d.From, d.Started, d.Beacon)
 		if err != nil {
 			h.log.warn(err, "beacon ignored")
 			return
 		}
-		if !known {
+		if !heard {
 			// The sender learns of this host and then describes itself.
 			h.sendBeacons([]netip.AddrPort{addr}, true)
 			return
 		}
+		if d.Beacon.Host != nil && d.Beacon.Host.Region != h.region {
+			// Hosts of other regions send beacons only to learn of this one's copy.
+			h.answerBeacon(addr, d)
+			return
+		}
 		h.takeLoads(d.From, d.Beacon.Loads)
 		if h.follow.follows(d.From) {
 			h.fetch(time.Now(), d.From)
@@ -521,6 +533,13 @@
 	}
 }
 
+// answerBeacon answers a beacon of another region, which the answer ends.
+func (h *Host) answerBeacon(addr netip.AddrPort, d *datagram) {
+	if h.table.Load() != nil && d.Beacon.Versions[feed.Tables] == 0 {
+		h.sendBeacons([]netip.AddrPort{addr}, true)
+	}
+}
+
 // takeLoads gives each pool the requests in progress of another host.
 func (h *Host) takeLoads(host string, loads map[string]int) {
 	h.eachPool(func(p *pool) { p.peerLoad(host, loads) })
