--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	go test -run '^$$' -bench . -benchmem ./...
 
 soak:
-	SOAK_SEEDS=1-50 SOAK_SECONDS=6 go test ./test/soak -run TestSoak -v
+	SOAK_SEEDS=1-50 SOAK_SECONDS=6 go test -count=1 ./test/soak -run TestSoak -v
 
 ci:
 	bash .ci/run
--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -758,3 +758,31 @@
 	require.Empty(t, again.peers.live(time.Now()), "hosts of another region are no peers")
 	require.Empty(t, h1.peers.live(time.Now()), "hosts of another region are no peers")
 }
+
+// Guards against tables with many routes that do not reach the hosts of a group
+// or whose routes are not found.
+func TestManyRoutes(t *testing.T) {
+	const routes = 3000
+	source := newSource()
+	putTable(source, 1)
+	putServer(source, newTestServer(t, "s1", ok), "a-1")
+	h1, h2 := startHost(t, source, "h1", "a-1"), startHost(t, source, "h2", "a-1")
+	ready(t, h1, 1)
+	table := fleet.Table{Version: 2, Pools: []fleet.Pool{{Name: "p"}}}
+	for i := range routes {
+		table.Routes = append(table.Routes, fleet.Route{
+			Name: fmt.Sprintf("r-%d", i), Host: "a.example", Prefix: fmt.Sprintf("/r%d/", i), Targets: []fleet.Target{{Pool: "p", Weight: 1}},
+			Timeout: time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: 1,
+		})
+	}
+	source.put(feed.Tables, feed.Item{Name: "main", Table: &table})
+	for _, h := range []*Host{h1, h2} {
+		require.Eventually(t, func() bool { return h.Dump().TableVersion == 2 && h.Dump().Servers["p"] == 1 }, patience, 5*time.Millisecond)
+		for _, i := range []int{0, 1, routes - 1} {
+			status, _, _ := get(t, h, "GET", fmt.Sprintf("/r%d/x", i))
+			require.Equal(t, http.StatusOK, status)
+		}
+		status, _, _ := get(t, h, "GET", fmt.Sprintf("/r%d/x", routes))
+		require.Equal(t, http.StatusNotFound, status)
+	}
+}
