Accept a restarted host whose start lies before that of its former process

Cause: processes of a host are ordered by the time of day of their start. If the clock was ahead when the former one started and has gone back, the new one is taken for late datagrams of the former one and counts as gone, until the host has been silent for 30 s.

A process that is met while the known one has been silent for 0.5 s, longer than datagrams are late, now follows it, whatever its start says. TestRestartAfterTheClockWentBack failed before.

--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -38,6 +38,9 @@
 	maxDatagram = 1400 // bytes, one packet
 	// bufferDatagram takes datagrams that are larger than one packet.
 	bufferDatagram = 64 << 10
+	// processGap is longer than datagrams are late, and than the interval of any
+	// beacons.
+	processGap = 500 * time.Millisecond
 	// joinedTime is how long beacons and digests describe hosts because one is
 	// new, and describeEvery the interval of the descriptions otherwise.
 	joinedTime    = 2 * time.Second
@@ -70,6 +73,13 @@
 	versions [feed.Kinds]int64
 }
 
+// follows reports whether a process with an earlier start than the known one is
+// the one after it, because the time of day went back meanwhile: the known one
+// has been silent.
+func (p *peerState) follows(now time.Time, started int64) bool {
+	return started < p.host.Started && now.Sub(p.heard) > processGap
+}
+
 // life is the time without news after which the host counts as gone.
 func (p *peerState) life() time.Duration {
 	if p.far {
@@ -101,9 +111,16 @@
 	return &peers{self: self, started: time.Now(), newest: time.Now(), hosts: map[string]*peerState{}, ids: map[uint32]string{}, group: map[string]bool{}}
 }
 
-// add records a host that was published or heard. The error says that its entry
-// cannot be used.
-func (p *peers) add(h fleet.EntryHost) error {
+// add records a host that was published. The error says that its entry cannot
+// be used.
+func (p *peers) add(h fleet.EntryHost) error { return p.record(h, time.Time{}) }
+
+// meet records a host that described itself, or that a member of its group
+// described.
+func (p *peers) meet(now time.Time, h fleet.EntryHost) error { return p.record(h, now) }
+
+// record records a host. met is zero for published hosts.
+func (p *peers) record(h fleet.EntryHost, met time.Time) error {
 	if h.Name == p.self.Name {
 		return nil
 	}
@@ -114,7 +131,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.hosts[h.Name]
-	if known == nil || known.host.Started < h.Started {
+	if known == nil || known.host.Started < h.Started || !met.IsZero() && known.follows(met, h.Started) {
 		if known != nil {
 			delete(p.ids, sightingID(known.host))
 		}
@@ -197,7 +214,7 @@
 // known: a beacon does not always describe its sender.
 func (p *peers) hear(now time.Time, from string, started int64, b *beacon) (known bool, err error) {
 	if b.Host != nil {
-		if err := p.add(*b.Host); err != nil {
+		if err := p.meet(now, *b.Host); err != nil {
 			return false, err
 		}
 	}
@@ -208,7 +225,8 @@
 		return false, nil
 	}
 	if s.host.Started > started {
-		return true, nil // a late beacon of the process before
+		// A late beacon of the process before, or the clock went back.
+		return !s.follows(now, started), nil
 	}
 	s.heard, s.far, s.leaving, s.ready = now, false, b.Leaving, b.Ready
 	s.watching, s.age, s.versions = b.Watching, time.Duration(b.AgeMS)*time.Millisecond, b.Versions
@@ -500,7 +518,7 @@
 		h.handleReport(d.From, d.Report)
 	}
 	for _, host := range d.Joined {
-		if err := h.peers.add(host); err != nil {
+		if err := h.peers.meet(time.Now(), host); err != nil {
 			h.log.warn(err, "digest ignored")
 		}
 	}
--- a/pkg/steer/peers_test.go
+++ b/pkg/steer/peers_test.go
@@ -130,8 +130,9 @@
 	require.Len(t, p.live(now), 1)
 	require.True(t, p.joining(now), "other hosts have to hear of the new one")
 	require.False(t, p.joining(now.Add(joinedTime+time.Second)))
-	now = now.Add(time.Minute)
 	require.True(t, hear(other.Started-1, nil), "a late beacon of the process before")
+	now = now.Add(time.Minute)
+	require.False(t, hear(other.Started-1, nil), "too late for one: the clock went back")
 	require.Empty(t, p.live(now))
 	require.False(t, hear(other.Started+1, nil), "a new process that was not described")
 	require.True(t, hear(other.Started, nil))
@@ -164,3 +165,27 @@
 	slices.Sort(out)
 	return out
 }
+
+// Guards against a restarted host that is taken for its former process because
+// the time of day went back meanwhile.
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	hosts := region(2)
+	self, other := hosts[0], hosts[1]
+	p := newPeers(self)
+	now := time.Now()
+	hear := func(h fleet.EntryHost) {
+		_, err := p.hear(now, h.Name, h.Started, &beacon{Host: &h, Ready: true})
+		require.NoError(t, err)
+	}
+	other.Started = 9000
+	hear(other)
+	again := other
+	again.Started = 8500
+	hear(again)
+	require.Equal(t, []fleet.EntryHost{other}, p.live(now), "a late beacon of a former process")
+	now = now.Add(processGap + time.Millisecond)
+	hear(again)
+	require.Equal(t, []fleet.EntryHost{again}, p.live(now))
+	require.Equal(t, other.Name, p.ids[sightingID(again)])
+	require.NotContains(t, p.ids, sightingID(other))
+}
