Log what decided the source of the store's changes, and peers heard again

On-call engineers could see which host asks the store, but not how old this host's copy was, its place in the order and the size of its group; and that a peer fell silent, but not that it came back. One line each, not per request.

--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -100,7 +100,7 @@
 	f.mu.Lock()
 	old := f.role
 	f.role = feed.Choose(feed.Copy{Host: h.self.Name, Capacity: h.self.Capacity, Watching: old.Watch, Age: f.ageLocked(now)}, copies)
-	role := f.role
+	role, age := f.role, f.ageLocked(now)
 	switch {
 	case role.Watch && !old.Watch:
 		ctx, cancel := context.WithCancel(h.tomb.Context(context.Background()))
@@ -113,15 +113,15 @@
 	}
 	f.mu.Unlock()
 	if role.Watch != old.Watch || role.Follow != old.Follow {
-		h.log.role(role)
+		h.log.role(role, age, h.peers.groupSize())
 	}
 	from := role.Follow
 	if from == "" {
-		// While nobody reaches the store, the newest copy of a peer is the best.
+		// Without a host to follow, a peer that is ahead has the best copy.
 		from = h.peers.ahead(now, f.revisions())
 	}
-	if from != "" {
-		h.fetch(now, from)
+	if from != "" && h.fetch(now, from) && role.Follow == "" {
+		h.log.aheadCopy(from)
 	}
 }
 
@@ -289,11 +289,11 @@
 }
 
 // fetch takes the changes of the followed host if it has newer ones, and its
-// word that there are none otherwise.
-func (h *Host) fetch(now time.Time, from string) {
+// word that there are none otherwise. It reports whether a transfer began.
+func (h *Host) fetch(now time.Time, from string) bool {
 	p, ok := h.peers.get(from)
 	if !ok {
-		return
+		return false
 	}
 	f := h.follow
 	f.mu.Lock()
@@ -306,10 +306,10 @@
 		for _, l := range f.logs {
 			l.Confirm(p.heard.Add(-p.age))
 		}
-		return
+		return false
 	}
 	if f.fetching {
-		return
+		return false
 	}
 	f.fetching = true
 	query := url.Values{}
@@ -326,6 +326,7 @@
 		}
 		return nil
 	})
+	return true
 }
 
 func (h *Host) fetchFrom(address string, query url.Values) error {
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -71,8 +71,19 @@
 
 func (l *eventLog) peerLost(name string) { l.Warn().Str("peer", name).Msg("peer is silent") }
 
-func (l *eventLog) role(r feed.Role) {
-	l.Info().Bool("watch", r.Watch).Str("follow", r.Follow).Msg("source of the store's changes chosen")
+func (l *eventLog) peerRegained(name string, silent time.Duration) {
+	l.Info().Str("peer", name).Int64("silent_ms", silent.Milliseconds()).Msg("peer is heard again")
+}
+
+func (l *eventLog) role(r feed.Role, age time.Duration, group int) {
+	l.Info().Bool("watch", r.Watch).Str("follow", r.Follow).Int("rank", r.Rank).Int("group", group).Int64("age_ms", age.Milliseconds()).
+		Msg("source of the store's changes chosen")
+}
+
+// aheadCopy records that the copy of a peer is fetched that is ahead although it
+// may be old: nobody reaches the store.
+func (l *eventLog) aheadCopy(from string) {
+	l.Info().Str("peer", from).Msg("a peer is ahead, fetching its copy of the store")
 }
 
 func (l *eventLog) dispatcher(pool, before, after string, hosts int) {
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -500,7 +500,7 @@
 }
 
 func (h *Host) handleDatagram(addr netip.AddrPort, d *datagram) {
-	_, known := h.peers.get(d.From)
+	before, known := h.peers.get(d.From)
 	if !known && d.Beacon == nil && h.table.Load() == nil {
 		// Another region sends reports here. It has tables, and the store may be away.
 		h.sendBeacons([]netip.AddrPort{addr}, true)
@@ -539,6 +539,10 @@
 			h.sendBeacons([]netip.AddrPort{addr}, true)
 			return
 		}
+		now := time.Now()
+		if known && before.host.Started == d.Started && !before.heard.IsZero() && !before.alive(now) {
+			h.log.peerRegained(d.From, now.Sub(before.heard))
+		}
 		if d.Beacon.Host != nil && d.Beacon.Host.Region != h.region {
 			// Hosts of other regions send beacons only to learn of this one's copy.
 			h.answerBeacon(addr, d)
