Measure the growth of shifted traffic from the times of its readings

Cause: the watcher takes the time once, then reads servers and hosts one after the other, so under load a level is read long after the time that it is recorded with, and two steps that are a second apart count as closer.

A reading now has the times before and after it, and growth is too fast if it is so wherever between them the levels were read.

--- a/pkg/demo/watch.go
+++ b/pkg/demo/watch.go
@@ -84,8 +84,11 @@
 	}
 	r.checker.InForce(process, tables.RoutesName, s.RoutesVersion)
 	r.checker.InForce(process, tables.PoolsName, s.PoolsVersion)
-	for key, level := range n.Host.SpillLevels() {
-		r.checker.Shift(now, s.Domain, key.Domain, key.Pool, float64(level), r.shiftLimit(key.Pool))
+	before := time.Now()
+	levels := n.Host.SpillLevels()
+	after := time.Now()
+	for key, level := range levels {
+		r.checker.ShiftRead(before, after, s.Domain, key.Domain, key.Pool, float64(level), r.shiftLimit(key.Pool))
 	}
 	total := n.Host.PeerBytes()
 	if last, ok := w.bytes[process]; ok {
--- a/pkg/invariant/invariant.go
+++ b/pkg/invariant/invariant.go
@@ -69,7 +69,7 @@
 }
 
 type sample struct {
-	at    time.Time
+	at    time.Time // when its reading began
 	level float64
 }
 
@@ -104,18 +104,24 @@
 // is the allowed growth in slots per ShiftWindow; a growth of one slot is
 // always allowed because slots are whole.
 func (c *Checker) Shift(now time.Time, from, to, pool string, level, limit float64) {
+	c.ShiftRead(now, now, from, to, pool, level, limit)
+}
+
+// ShiftRead is Shift for a level that was read at some time between before and
+// after. Growth is too fast if it is so wherever in them the levels were read.
+func (c *Checker) ShiftRead(before, after time.Time, from, to, pool string, level, limit float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := from + ">" + to + "/" + pool
 	kept := c.shifts[key][:0]
 	lowest := level
 	for _, s := range c.shifts[key] {
-		if now.Sub(s.at) <= ShiftWindow {
+		if after.Sub(s.at) <= ShiftWindow {
 			kept = append(kept, s)
 			lowest = min(lowest, s.level)
 		}
 	}
-	c.shifts[key] = append(kept, sample{now, level})
+	c.shifts[key] = append(kept, sample{before, level})
 	c.check(ShiftUnderCap, level-lowest <= max(limit, 1)+1e-9,
 		"%s grew by %.2f slots within %s, the cap is %.2f", key, level-lowest, ShiftWindow, limit)
 }
