Keep soak seed 13 as an open finding; print starts and signals

The second process of h2 ended before its first line, and the soak sends no SIGHUP to such a process. The cause is not known; findings/13.txt has the lines. A process that ends now comes with the history of its starts and signals.

--- a/test/soak/hosts_test.go
+++ b/test/soak/hosts_test.go
@@ -46,6 +46,13 @@
 	told bool
 	// before is the number of bytes that earlier processes logged.
 	before int
+	// history has the starts and signals of the host's processes with their times.
+	history []string
+}
+
+// note adds to the history. The caller holds the lock.
+func (h *host) note(format string, args ...any) {
+	h.history = append(h.history, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
 const settingsText = `name = %q
@@ -110,13 +117,16 @@
 	}
 	done, cmd := make(chan struct{}), h.cmd
 	h.done, h.told, h.before = done, false, before
+	h.note("start of %d, %d bytes logged before", cmd.Process.Pid, before)
 	go func() {
 		err := cmd.Wait()
 		h.mu.Lock()
 		told := h.told
+		h.note("end of %d: %v, %d bytes logged", cmd.Process.Pid, err, h.log.written())
+		history := strings.Join(h.history, "; ")
 		h.mu.Unlock()
 		if !told {
-			h.ended(h.name, err)
+			h.ended(h.name, fmt.Errorf("%w (%s)", err, history))
 		}
 		close(done)
 	}()
@@ -136,6 +146,7 @@
 	case <-h.done:
 	default:
 		h.told = h.told || sig == syscall.SIGTERM || sig == syscall.SIGKILL
+		h.note("%v to %d, %d bytes logged", sig, h.cmd.Process.Pid, h.log.written())
 		_ = h.cmd.Process.Signal(sig) // it may have ended meanwhile
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -54,6 +54,10 @@
 var regressions = []int{
 	// http.Server.Shutdown dropped requests that it read meanwhile.
 	15, 35, 55,
+	// steer did not ask for SIGHUP before it read its settings.
+	21, 52, 54,
+	// Open: a process ended by SIGHUP, see findings/13.txt.
+	13,
 }
 
 // TestSoak plays seeds of random faults. Guards against requests that run twice
