Mend TestDemonstration: growth of shifts, cut shutdown, hidden repetition

The trace shows a credit of 2 slots, reached over 6 s, under which requests went from 0 to 2 within 100 ms. That is variation under a constant level, which pkg/measure does not count (TestRequestsVaryUnderAConstantLevel). - A cut shutdown: the shutdown's context was that of the load, so a shutdown that was still waiting for requests was forced when the load ended. - not-run-is-true (seen once): net/http repeats a GET without a body when its reused connection breaks. If the host has died, the repetition cannot connect, and the client called a request that had run not-run. This is a fault of pkg/client.

Ruled out: a hold of an hour for lost hosts (the failures come without it).

Change: the demonstration checks, as pkg/measure does, the levels that the dispatchers of a domain permit or run, in total over its hosts, for relayed requests and for callers that look-ups sent. The shutdown ends with the demonstration, not with the load. The client never lets net/http repeat a request (TestNoHiddenRepetition fails first). Dispatchers read the time where they decide, not where a message came in, so that steps of a shift are not dated too early.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -350,11 +350,12 @@
 	if err != nil {
 		return nil, result.Wrap(err, result.BadRequest, "build request")
 	}
-	// A GetBody function lets net/http resend a request by itself on a new
-	// connection, which must not happen to a request that may have run.
-	// Without a body it does so for GET requests by their method.
+	// net/http may resend a request by itself on a new connection, and would
+	// then report the first attempt, which may have run, as one whose connection
+	// could not be opened. It does so for requests with a GetBody function, and
+	// for GET requests without a body by their method.
 	req.GetBody = nil
-	if len(r.Body) == 0 && !r.Idempotent && isSafeMethod(r.Method) {
+	if len(r.Body) == 0 && isSafeMethod(r.Method) {
 		req.Body = io.NopCloser(bytes.NewReader(nil))
 	}
 	for k, v := range r.Header {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -264,27 +264,31 @@
 }
 
 // Guards against net/http, which by itself repeats a GET request whose reused
-// connection broke. Work that is not idempotent would run twice.
+// connection broke. Work that is not idempotent would run twice, and work at a
+// host that died would be called not-run because its repetition found no host.
 func TestNoHiddenRepetition(t *testing.T) {
-	run(t, func(w *world) {
-		seen := 0
-		body := fmt.Sprintf(`{"cache_ms":%d,"hosts":[{"name":"a","address":"a:1"}]}`, cacheTime.Milliseconds())
-		stop := w.net.Script("a", func(_ int, c net.Conn, r *bufio.Reader) {
-			for {
-				req, err := http.ReadRequest(r)
-				if err != nil {
-					return
+	for _, idempotent := range []bool{false, true} {
+		run(t, func(w *world) {
+			seen := 0
+			body := fmt.Sprintf(`{"cache_ms":%d,"hosts":[{"name":"a","address":"a:1"}]}`, cacheTime.Milliseconds())
+			stop := w.net.Script("a", func(_ int, c net.Conn, r *bufio.Reader) {
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if req.URL.Path != api.LookupPath {
+						seen++
+						_ = w.net.Listen("a").Close() // refuses new connections
+						return
+					}
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 				}
-				if req.URL.Path != api.LookupPath {
-					seen++
-					return
-				}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-			}
+			})
+			defer stop()
+			e := w.fails(Request{Method: http.MethodGet, Path: "/pledge", Route: "pledge", Idempotent: idempotent})
+			require.Equal(t, result.Unknown, e.Run, "idempotent: %v", idempotent)
+			require.Equal(t, 1, seen)
 		})
-		defer stop()
-		e := w.fails(Request{Method: http.MethodGet, Path: "/pledge", Route: "pledge"})
-		require.Equal(t, result.Unknown, e.Run)
-		require.Equal(t, 1, seen)
-	})
+	}
 }
--- a/pkg/core/spill/spill_test.go
+++ b/pkg/core/spill/spill_test.go
@@ -373,3 +373,40 @@
 	require.NotEmpty(t, b.Asks(now))
 	require.Empty(t, b.Asks(now.Add(2*wishTime)), "nothing is asked for without requests")
 }
+
+// Shows that the number of relayed requests may grow faster than the cap while
+// the level that the lender permits is constant: two slots have been lent for a
+// long time, and the requests of an established flow come and go under them.
+// The cap is therefore checked on levels.
+func TestRequestsVaryUnderAConstantLevel(t *testing.T) {
+	start := time.Now()
+	l := NewLender(LenderConfig{Domain: "b", Pool: "p", Slots: 10, ShiftCap: 0.1})
+	check := invariant.New()
+	var credit Credit
+	step := func(at time.Duration, run int) {
+		now := start.Add(at)
+		c, ok := l.Grant(now, Request{From: "a", Pool: "p", Want: 2, Seq: uint64(at)}, 8)
+		require.True(t, ok)
+		credit = c
+		for range run {
+			require.NoError(t, l.Accept(now, credit, 8))
+		}
+		check.Shift(now, "a", "b", "p", float64(l.Level(now, "a")), 1)
+		for range run {
+			l.Release(now, "a")
+		}
+	}
+	// The flow reaches two requests at a time under the cap.
+	for at := time.Duration(0); at <= 2*time.Second; at += 200 * time.Millisecond {
+		step(at, min(1, int(at/time.Second)))
+	}
+	for at := 2200 * time.Millisecond; at <= 4*time.Second; at += 200 * time.Millisecond {
+		run := 0
+		if at%(400*time.Millisecond) == 0 {
+			run = credit.Slots
+		}
+		step(at, run)
+	}
+	require.Equal(t, 2, credit.Slots, "requests went from 0 to 2 within 200 ms, again and again")
+	require.Empty(t, check.Finish().Violations)
+}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -134,7 +134,7 @@
 	watched := make(chan struct{})
 	go func() { defer close(watched); r.watch(watchCtx) }()
 	events := make(chan error, 1)
-	go func() { events <- r.playEvents(loadCtx, o.For) }()
+	go func() { events <- r.playEvents(ctx, loadCtx.Done(), o.For) }()
 	l.run(loadCtx, o.For, defaultStreams())
 	eventErr := <-events
 	stopWatch()
@@ -149,8 +149,10 @@
 	return r.summarize(l, o.For), nil
 }
 
-// playEvents changes the system at fixed fractions of the run.
-func (r *run) playEvents(ctx context.Context, total time.Duration) error {
+// playEvents changes the system at fixed fractions of the run and starts no
+// event after the end of the load. Events end with ctx only: a shutdown that
+// ended with the load would cut the requests that it waits for.
+func (r *run) playEvents(ctx context.Context, loadEnd <-chan struct{}, total time.Duration) error {
 	events := []struct {
 		at   float64
 		what string
@@ -165,7 +167,7 @@
 	}
 	for _, e := range events {
 		select {
-		case <-ctx.Done():
+		case <-loadEnd:
 			return nil
 		case <-time.After(time.Until(r.started.Add(time.Duration(e.at * float64(total))))):
 		}
--- a/pkg/demo/watch.go
+++ b/pkg/demo/watch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/entry"
 	"github.com/tamarackswitch/tamarackswitch/pkg/invariant"
 	"github.com/tamarackswitch/tamarackswitch/pkg/tables"
 )
@@ -61,6 +62,7 @@
 	for _, n := range r.cluster.Nodes() {
 		r.lookAtNode(now, n)
 	}
+	r.lookAtShifts()
 	r.checker.CheckConfig(now)
 	counts := r.cluster.Platform.Counts()
 	for ; w.reads < counts.Reads+counts.Watches; w.reads++ {
@@ -84,12 +86,6 @@
 	}
 	r.checker.InForce(process, tables.RoutesName, s.RoutesVersion)
 	r.checker.InForce(process, tables.PoolsName, s.PoolsVersion)
-	before := time.Now()
-	levels := n.Host.SpillLevels()
-	after := time.Now()
-	for key, level := range levels {
-		r.checker.ShiftRead(before, after, s.Domain, key.Domain, key.Pool, float64(level), r.shiftLimit(key.Pool))
-	}
 	total := n.Host.PeerBytes()
 	if last, ok := w.bytes[process]; ok {
 		r.checker.ControlTraffic(now, process, int(total-last))
@@ -97,6 +93,30 @@
 	w.bytes[process] = total
 }
 
+// lookAtShifts checks the growth of what each domain permits for the others, in
+// total over its hosts, of which more than one may dispatch during a takeover.
+func (r *run) lookAtShifts() {
+	type shift struct {
+		entry.ShiftKey
+		to string
+	}
+	levels := map[shift]int{}
+	before := time.Now()
+	for _, n := range r.cluster.Nodes() {
+		for key, level := range n.Host.ShiftLevels() {
+			levels[shift{key, n.Settings.Host.Domain}] += level
+		}
+	}
+	after := time.Now()
+	for s, level := range levels {
+		kind := s.Pool + "/relayed"
+		if s.Callers {
+			kind = s.Pool + "/callers"
+		}
+		r.checker.ShiftRead(before, after, s.From, s.to, kind, float64(level), r.shiftLimit(s.Pool))
+	}
+}
+
 // shiftLimit returns the allowed growth of shifted traffic in slots a second.
 func (r *run) shiftLimit(pool string) float64 {
 	for _, p := range r.cluster.Config.Pools {
--- a/pkg/entry/credits.go
+++ b/pkg/entry/credits.go
@@ -113,7 +113,9 @@
 		}
 		return
 	}
-	credit, ok := d.lender.Grant(now, m.Request, d.lendable(now))
+	lendable := d.lendable(now)
+	// The time is read here for the reason given at chooseDomain.
+	credit, ok := d.lender.Grant(time.Now(), m.Request, lendable)
 	if !ok {
 		return
 	}
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -29,7 +29,7 @@
 		h.deliver(p, d.slots.Offer(now, d.request(now, from, req)))
 		return
 	}
-	choice := h.chooseDomain(now, d, req, 0)
+	choice := h.chooseDomain(d, req, 0)
 	if choice.Local {
 		decisions := d.slots.Offer(now, d.request(now, from, req))
 		refused := refusalOf(decisions, from, req.ID)
@@ -39,7 +39,7 @@
 			return
 		}
 		d.borrower.Done(now, choice)
-		choice = h.chooseDomain(now, d, req, neverInTime)
+		choice = h.chooseDomain(d, req, neverInTime)
 		if choice.Credit == nil {
 			rest := decisions
 			if refused.Code == result.NoHealthyServer && p.park(now, d, from, req, choice.Err) {
@@ -72,16 +72,18 @@
 }
 
 // chooseDomain asks the borrower. wait is the expected wait in the own domain.
-func (h *Host) chooseDomain(now time.Time, d *dispatching, req slotRequest, wait time.Duration) spill.Choice {
+// The time is read here: a message may have waited, and steps of a shift that
+// are dated too early follow each other too fast.
+func (h *Host) chooseDomain(d *dispatching, req slotRequest, wait time.Duration) spill.Choice {
 	if req.Stay {
 		return spill.Choice{Local: true, Domain: h.cfg.Host.Domain}
 	}
-	room := d.slots.Headroom(now)
+	room := d.slots.Headroom(time.Now())
 	running := room.Running
 	for _, n := range room.Queued {
 		running += n
 	}
-	return d.borrower.Choose(now, spill.Need{
+	return d.borrower.Choose(time.Now(), spill.Need{
 		Rank: tables.Ranks[req.Rank], Home: req.Home, Service: time.Duration(req.ServiceUS) * time.Microsecond, Left: time.Duration(req.LeftMS) * time.Millisecond,
 		RequestBytes: req.RequestBytes, AnswerBytes: req.AnswerBytes,
 	}, spill.Local{Slots: room.Slots, Running: running, Wait: wait})
--- a/pkg/entry/state.go
+++ b/pkg/entry/state.go
@@ -240,28 +240,33 @@
 	})
 }
 
-// SpillKey names traffic that this host's dispatchers place elsewhere.
-type SpillKey struct{ Pool, Domain string }
+// ShiftKey names traffic of another failure domain that comes to this host's.
+type ShiftKey struct {
+	From, Pool string
+	// Callers tells requests of From's own callers, which a look-up sent here,
+	// from those that From's entry hosts relay under a credit.
+	Callers bool
+}
 
-// SpillLevels returns the requests that this host's dispatchers have running in
-// other failure domains.
-func (h *Host) SpillLevels() map[SpillKey]int {
-	out := map[SpillKey]int{}
+// ShiftLevels returns how many requests this host's dispatchers permit or run
+// for other failure domains now. The shift cap bounds the growth of these
+// levels; the requests vary under a constant level.
+func (h *Host) ShiftLevels() map[ShiftKey]int {
+	out := map[ShiftKey]int{}
 	for _, p := range h.poolList() {
 		p.mu.Lock()
-		if p.dispatching != nil {
-			for _, d := range h.cfg.Topology.Domains {
-				if d.Name != h.cfg.Host.Domain {
-					out[SpillKey{p.name, d.Name}] = 0
-				}
-			}
-			for _, pl := range p.placed {
-				if pl.choice.Credit != nil {
-					out[SpillKey{p.name, pl.choice.Domain}]++
-				}
+		d := p.dispatching
+		p.mu.Unlock()
+		if d == nil {
+			continue
+		}
+		now := time.Now()
+		for _, from := range h.cfg.Topology.Domains {
+			if from.Name != h.cfg.Host.Domain {
+				out[ShiftKey{from.Name, p.name, false}] = d.lender.Level(now, from.Name)
+				out[ShiftKey{from.Name, p.name, true}] = d.borrower.HomeLevel(from.Name)
 			}
 		}
-		p.mu.Unlock()
 	}
 	return out
 }
