--- a/pkg/core/slots/lost.go
+++ b/pkg/core/slots/lost.go
@@ -8,11 +8,11 @@
 // Constants of lost hosts and shared servers.
 const (
 	// LostHold is how long a host that was removed by timeout counts as
-	// holding its share of every server's slots. It is longer than a partition
-	// of 20 s and bounds the capacity lost to a host that died unnoticed.
-	LostHold = 30 * time.Second
-	// lostMemory is how long after LostHold a shed request renews it. It is the
-	// typical length of a long partition.
+	// holding its share of every server's slots, the typical length of a long
+	// partition. A host that died is mostly known to have ended long before:
+	// its address refuses connections or the platform no longer lists it.
+	LostHold = time.Hour
+	// lostMemory is how long after LostHold a shed request renews it.
 	lostMemory = time.Hour
 	// ShedRestore is the time until one slot of allowance that was taken after
 	// a shed request is given back.
--- a/pkg/core/spill/borrower.go
+++ b/pkg/core/spill/borrower.go
@@ -21,8 +21,8 @@
 	patientFarShare = 0.5
 	// onceShare and patientShare are the fractions of the level of another
 	// domain's callers that these ranks may fill.
-	onceShare    = 0.75
-	patientShare = 0.5
+	onceShare    = 0.5
+	patientShare = 0.25
 	// demandHalf is the time constant of the demand estimate.
 	demandHalf = 500 * time.Millisecond
 	// idleDemand is the demand in slots under which no credit is asked for.
--- a/pkg/measure/dispatch_fault.go
+++ b/pkg/measure/dispatch_fault.go
@@ -159,7 +159,7 @@
 	f.elect(lost, pauseTime+rejoin, f.nodes, nil)
 }
 
-// longPartition outlasts slots.LostHold.
+// longPartition outlasts all times of dispatch but slots.LostHold.
 var longPartition = fault{"long-partition", "As dispatch-partition for 45 s.", injectPartition(45 * time.Second)}
 
 func injectPartition(heal time.Duration) func(*dispatchFront) {
--- a/pkg/measure/dispatch_test.go
+++ b/pkg/measure/dispatch_test.go
@@ -58,7 +58,7 @@
 }
 
 // Guards against slots that are granted twice once a partition inside a failure
-// domain outlasts slots.LostHold.
+// domain outlasts the deadlines and recovery times of requests.
 func TestDispatchLongPartition(t *testing.T) { requireGood(t, faultReport(4, longPartition)) }
 
 // Guards against any change of the decisions that is not intended: the log of
