Let the demonstration end its events late and spread control bytes

Cause, from traces with the race detector beside eight busy processes: a look at the cluster takes up to 4 s then, and an event that ends a host waits for it.

Change: the load goes on until the last event has ended; bytes are spread over the time between two readings (TestControlBytesOfSlowReadings). The bounds are the same.

--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -13,6 +13,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/settings"
 	"github.com/tamarackswitch/tamarackswitch/pkg/tables"
 	"github.com/tamarackswitch/tamarackswitch/pkg/units"
+	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
 // Durations of the demonstration.
@@ -128,14 +129,23 @@
 	defer cluster.Close()
 	r := &run{cluster: cluster, checker: invariant.New(), progress: o.Progress, started: time.Now()}
 	l := newLoad(cluster, r.checker)
-	loadCtx, stopLoad := context.WithTimeout(ctx, o.For)
+	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	watched := make(chan struct{})
 	go func() { defer close(watched); r.watch(watchCtx) }()
 	events := make(chan error, 1)
-	go func() { events <- r.playEvents(ctx, loadCtx.Done(), o.For) }()
+	go func() {
+		// The load goes on until the last event has ended, also if it ends late.
+		defer stopLoad()
+		err := r.playEvents(ctx, o.For)
+		if err == nil {
+			wait.For(ctx, time.Until(r.started.Add(o.For)))
+		}
+		events <- err
+	}()
 	l.run(loadCtx, o.For, defaultStreams())
+	took := time.Since(r.started)
 	eventErr := <-events
 	stopWatch()
 	<-watched
@@ -146,13 +156,12 @@
 		return nil, result.Wrap(err, result.ForcedStop, "the demonstration was interrupted")
 	}
 	r.finish(l)
-	return r.summarize(l, o.For), nil
+	return r.summarize(l, took), nil
 }
 
-// playEvents changes the system at fixed fractions of the run and starts no
-// event after the end of the load. Events end with ctx only: a shutdown that
-// ended with the load would cut the requests that it waits for.
-func (r *run) playEvents(ctx context.Context, loadEnd <-chan struct{}, total time.Duration) error {
+// playEvents changes the system at fixed fractions of the run, or later if an
+// event before takes long.
+func (r *run) playEvents(ctx context.Context, total time.Duration) error {
 	events := []struct {
 		at   float64
 		what string
@@ -166,10 +175,8 @@
 		{0.85, "flood of archive look-ups", func(context.Context) error { return nil }},
 	}
 	for _, e := range events {
-		select {
-		case <-loadEnd:
+		if !wait.For(ctx, time.Until(r.started.Add(time.Duration(e.at*float64(total))))) {
 			return nil
-		case <-time.After(time.Until(r.started.Add(time.Duration(e.at * float64(total))))):
 		}
 		r.say("%s", e.what)
 		if err := e.do(ctx); err != nil {
--- a/pkg/demo/watch.go
+++ b/pkg/demo/watch.go
@@ -15,12 +15,18 @@
 type watchedState struct {
 	mu      sync.Mutex
 	started map[string]int // work started by server
-	bytes   map[string]int64
+	bytes   map[string]counted // control bytes by process
 	known   map[string]string // process by host name
 	reads   int
 	writes  int
 }
 
+// counted is a reading of a counter.
+type counted struct {
+	at    time.Time
+	total int64
+}
+
 // drop stops requiring anything of a host that is about to end.
 func (w *watchedState) drop(c *invariant.Checker, host string) {
 	w.mu.Lock()
@@ -33,15 +39,15 @@
 
 // watch feeds the checker from the state of all parts until ctx ends.
 func (r *run) watch(ctx context.Context) {
-	r.watched.started, r.watched.bytes, r.watched.known = map[string]int{}, map[string]int64{}, map[string]string{}
+	r.watched.started, r.watched.bytes, r.watched.known = map[string]int{}, map[string]counted{}, map[string]string{}
 	t := time.NewTicker(watchPeriod)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
-			r.look(now)
+		case <-t.C:
+			r.look(time.Now()) // the tick's time is older after a slow look
 		}
 	}
 }
@@ -60,7 +66,7 @@
 		r.checker.Load(s.Address, c.MaxRunning, s.Slots)
 	}
 	for _, n := range r.cluster.Nodes() {
-		r.lookAtNode(now, n)
+		r.lookAtNode(n)
 	}
 	r.lookAtShifts()
 	r.checker.CheckConfig(now)
@@ -73,7 +79,7 @@
 	}
 }
 
-func (r *run) lookAtNode(now time.Time, n *Node) {
+func (r *run) lookAtNode(n *Node) {
 	w := &r.watched
 	s := n.Host.Status()
 	process := fmt.Sprintf("%s/%d", s.Name, s.Incarnation)
@@ -86,11 +92,11 @@
 	}
 	r.checker.InForce(process, tables.RoutesName, s.RoutesVersion)
 	r.checker.InForce(process, tables.PoolsName, s.PoolsVersion)
-	total := n.Host.PeerBytes()
+	read := counted{time.Now(), n.Host.PeerBytes()}
 	if last, ok := w.bytes[process]; ok {
-		r.checker.ControlTraffic(now, process, int(total-last))
+		r.checker.ControlRead(last.at, read.at, process, int(read.total-last.total))
 	}
-	w.bytes[process] = total
+	w.bytes[process] = read
 }
 
 // lookAtShifts checks the growth of what each domain permits for the others, in
--- a/pkg/invariant/invariant.go
+++ b/pkg/invariant/invariant.go
@@ -268,6 +268,21 @@
 	c.nodeBytes[node][now.Unix()] += bytes
 }
 
+// ControlRead reports control bytes that a node sent or received at some time
+// between two readings of its counter, and spreads them evenly.
+func (c *Checker) ControlRead(since, now time.Time, node string, bytes int) {
+	total, done := now.Sub(since), 0
+	for from := since; from.Before(now); {
+		to := time.Unix(from.Unix()+1, 0)
+		if to.After(now) {
+			to = now
+		}
+		upTo := int(float64(bytes) * float64(to.Sub(since)) / float64(total))
+		c.ControlTraffic(from, node, upTo-done)
+		from, done = to, upTo
+	}
+}
+
 // finish evaluates the checks that need the whole run.
 func (c *Checker) finish() {
 	for work := range c.runs {
--- a/pkg/invariant/shift_test.go
+++ b/pkg/invariant/shift_test.go
@@ -34,3 +34,24 @@
 	c.ShiftRead(at(1100), at(1100), "a", "b", "p", 2, 1)
 	require.Empty(t, c.Finish().Violations)
 }
+
+// Guards against bytes that count as those of one second because the counter
+// was read seldom, and against bytes that are not counted.
+func TestControlBytesOfSlowReadings(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
+	for _, tc := range []struct {
+		bytes, ms int
+		broken    bool
+	}{
+		{4 * ControlBytes, 4000, false},
+		{4*ControlBytes + 1, 4000, true},
+		{2 * ControlBytes, 1500, false}, // over two seconds of the clock
+		{2*ControlBytes + 1, 1500, true},
+		{ControlBytes + 1, 300, true},
+	} {
+		c := New()
+		c.ControlRead(at(0), at(tc.ms), "a", tc.bytes)
+		sum := c.Finish()
+		require.Equal(t, tc.broken, len(sum.Violations) > 0, "%d bytes in %d ms", tc.bytes, tc.ms)
+	}
+}
