Reject requests at an entry host without enough processor time

The logs show two hosts that read up to 2.4 s late at the peak of the load, and no decision that takes notice of it.

New setting limits.lateness, code 2009, metric and log lines.

TestSettingsPage compares each default with its own key now; it accepted the default of another key before.

--- a/pkg/demo/watch.go
+++ b/pkg/demo/watch.go
@@ -14,9 +14,9 @@
 // watchedState remembers what the last look at the cluster showed.
 type watchedState struct {
 	mu      sync.Mutex
-	started map[string]int // work started by server
+	started map[string]int     // work started by server
 	bytes   map[string]counted // control bytes by process
-	known   map[string]string // process by host name
+	known   map[string]string  // process by host name
 	reads   int
 	writes  int
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -61,26 +61,37 @@
 	Pools   []Pool  `cbor:"3,keyasint"`
 	Limits  Limits  `cbor:"4,keyasint"`
 
-	byHost map[string][]*Route
-	pools  map[string]*Pool
+	byHost     map[string][]*Route
+	pools      map[string]*Pool
+	priorities []int // of the routes, without repetitions, most urgent first
 }
 
 // Index prepares the table for look-ups. Call it once before the table is
 // shared.
 func (t *Table) Index() {
-	t.byHost, t.pools = map[string][]*Route{}, map[string]*Pool{}
+	t.byHost, t.pools, t.priorities = map[string][]*Route{}, map[string]*Pool{}, nil
 	for i := range t.Pools {
 		t.pools[t.Pools[i].Name] = &t.Pools[i]
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		t.priorities = append(t.priorities, r.Priority)
 	}
+	slices.Sort(t.priorities)
+	t.priorities = slices.Compact(t.priorities)
 	for _, routes := range t.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 }
 
+// Level returns the place of a route's priority among those in use, 0 for the
+// most urgent, and their number.
+func (t *Table) Level(r *Route) (level, levels int) {
+	level, _ = slices.BinarySearch(t.priorities, r.Priority)
+	return level, len(t.priorities)
+}
+
 // Match returns the route of host with the longest prefix of path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.byHost[host] {
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -38,6 +38,7 @@
 	NoEntryHost       Code = 2006
 	DispatcherUnknown Code = 2007
 	DeadlineExpired   Code = 2008
+	HostOverloaded    Code = 2009
 )
 
 // Codes for failures between an entry host and a backend server.
@@ -143,6 +144,7 @@
 	{NoEntryHost, "no-entry-host", http.StatusServiceUnavailable, exitLoad, "A lookup found no live entry host."},
 	{DispatcherUnknown, "dispatcher-unknown", http.StatusServiceUnavailable, exitLoad, "The dispatcher of the pool did not answer in time."},
 	{DeadlineExpired, "deadline-expired", http.StatusServiceUnavailable, exitLoad, "The deadline passed while the request was queued."},
+	{HostOverloaded, "host-overloaded", http.StatusServiceUnavailable, exitLoad, "The entry host's own processor time does not suffice."},
 
 	{NoHealthyServer, "no-healthy-server", http.StatusServiceUnavailable, exitBackend, "The pool has no backend server that accepts work."},
 	{ConnectFailed, "connect-failed", http.StatusBadGateway, exitBackend, "No connection to the backend server could be opened."},
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -19,6 +19,7 @@
 	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/overload"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/registry"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
@@ -86,7 +87,8 @@
 	// closed.
 	ends atomic.Pointer[time.Time]
 	// held counts the requests that were read and not answered.
-	held atomic.Int64
+	held  atomic.Int64
+	guard *overload.Guard
 }
 
 // New returns a host that is not running yet.
@@ -98,8 +100,8 @@
 			Caller: cmp.Or(cfg.Advertise.Caller, cfg.Listen.Caller), Peer: cmp.Or(cfg.Advertise.Peer, cfg.Listen.Peer),
 			Control: cmp.Or(cfg.Advertise.Control, cfg.Listen.Control),
 		},
-		hostsWanted: make(chan struct{}, 1),
-		follow:      newFollower(time.Now()), registry: registry.New(), pools: map[string]*pool{},
+		hostsWanted: make(chan struct{}, 1), guard: overload.New(cfg.Limits.Lateness.Std()),
+		follow: newFollower(time.Now()), registry: registry.New(), pools: map[string]*pool{},
 		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}),
 	}
 	h.settings.Store(cfg)
@@ -125,6 +127,7 @@
 		next.Regions = old.Regions
 	}
 	h.settings.Store(&next)
+	h.guard.SetFull(next.Limits.Lateness.Std())
 	h.log.setRate(next.Log)
 	h.log.reloaded(h, s.Name != old.Name || s.Domain != old.Domain || s.Listen != old.Listen || s.Advertise != old.Advertise || s.Platform != old.Platform)
 	h.updatePools()
@@ -155,6 +158,7 @@
 	h.startPeers(conn)
 	h.every(roleTick, h.chooseRole)
 	h.every(registryTick, h.expireServers)
+	h.tomb.Go(h.measureLateness)
 	h.log.start(h)
 	return nil
 }
--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -198,7 +198,8 @@
 		Listen: Listen{
 			Caller: freeAddress(t), Ready: freeAddress(t), Lookup: freeAddress(t), Control: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t),
 		},
-		Limits: Limits{CPUShare: 1, Cores: 1},
+		// Other tests on the machine must not make a host reject requests.
+		Limits: Limits{CPUShare: 1, Cores: 1, Lateness: units.Duration(patience)},
 		Bounds: Bounds{
 			Grace: units.Duration(6 * time.Second), LookupLife: units.Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100,
 			RetryWindow: units.Duration(10 * time.Second),
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -69,6 +69,17 @@
 	}
 }
 
+func (l *eventLog) overload(begins bool, late time.Duration, held int64) {
+	if !l.allow() {
+		return
+	}
+	msg := "processor time suffices again"
+	if begins {
+		msg = "processor time does not suffice"
+	}
+	l.Warn().Int64("late_ms", late.Milliseconds()).Int64("held", held).Msg(msg)
+}
+
 func (l *eventLog) peerLost(name string) { l.Warn().Str("peer", name).Msg("peer is silent") }
 
 func (l *eventLog) peerRegained(name string, silent time.Duration) {
--- a/pkg/steer/metrics.go
+++ b/pkg/steer/metrics.go
@@ -53,6 +53,9 @@
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tamarackswitch_steer_held_requests", Help: "Requests that were read and not answered.",
 	}, func() float64 { return float64(h.held.Load()) })
+	late := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "tamarackswitch_steer_late_seconds", Help: "How late the process reads what has arrived, mean; over 0.025 the least urgent requests are rejected.",
+	}, func() float64 { return h.guard.Late().Seconds() })
 	version := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tamarackswitch_steer_table_version", Help: "Version of the tables in force.",
 	}, func() float64 {
@@ -61,7 +64,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversized, held, version)
+	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversized, held, late, version)
 	h.log.dropped = m.logDropped
 	return m
 }
--- a/pkg/steer/page_test.go
+++ b/pkg/steer/page_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -34,6 +35,7 @@
 [limits]
 cpu_share = 0.5
 cores = 1
+lateness = "200ms"
 [bounds]
 grace = "6s"
 lookup_life = "5s"
@@ -63,6 +65,7 @@
 		{`retry_ratio = 0.2`, `retry_ratio = 2`, "bounds.retry_ratio"},
 		{`retry_extra = 133`, `retry_extra = -1`, "bounds.retry_extra"},
 		{`retry_window = "10s"`, ``, "bounds.retry_window"},
+		{`lateness = "200ms"`, `lateness = 200`, "limits.lateness: must be at least 1ms, with a unit"},
 		{`level = "info"`, `level = "loud"`, `log.level: "loud"`},
 		{`rate = 100`, `rate = 0`, "log.rate"},
 		{`rate = 100`, `speed = 1`, "line"},
@@ -117,7 +120,9 @@
 			}[want], key)
 		default:
 			require.NoError(t, err, key)
-			require.Contains(t, []string{s.Log.Level, "100"}, want, key)
+			require.Equal(t, map[string]string{
+				"limits.lateness": s.Limits.Lateness.String(), "log.level": s.Log.Level, "log.rate": strconv.Itoa(s.Log.Rate),
+			}[key], want, key)
 		}
 	}
 }
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -72,7 +72,7 @@
 }
 
 func (h *Host) handle(x *exchange) (*forward.Answer, *result.Error) {
-	for _, filter := range []func(*exchange) *result.Error{h.receive, h.routeRequest, h.checkEnd, h.readBody} {
+	for _, filter := range []func(*exchange) *result.Error{h.receive, h.routeRequest, h.checkOverload, h.checkEnd, h.readBody} {
 		if err := filter(x); err != nil {
 			return nil, err
 		}
--- a/pkg/steer/settings.go
+++ b/pkg/steer/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/overload"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 	"github.com/tamarackswitch/tamarackswitch/pkg/units"
 )
@@ -69,6 +70,9 @@
 	CPUShare float64 `toml:"cpu_share"`
 	// Cores is the number of cores.
 	Cores float64 `toml:"cores"`
+	// Lateness is how late the process may read what has arrived; then it rejects
+	// all requests, and the least urgent ones from a sixth of it on. Default 150ms.
+	Lateness units.Duration `toml:"lateness"`
 }
 
 // Bounds are the limits that the deployment sets.
@@ -112,7 +116,10 @@
 // ParseSettings reads and checks the text of a settings file; file is its name
 // in errors.
 func ParseSettings(file string, raw []byte) (*Settings, error) {
-	s := &Settings{Log: Log{Level: defaultLogLevel, Rate: defaultLogRate}}
+	s := &Settings{
+		Limits: Limits{Lateness: units.Duration(overload.Full)},
+		Log:    Log{Level: defaultLogLevel, Rate: defaultLogRate},
+	}
 	d := toml.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(s); err != nil {
@@ -180,6 +187,8 @@
 		return bad("limits.cpu_share", "%v is not above 0 and at most 1", s.Limits.CPUShare)
 	case s.Limits.Cores <= 0:
 		return bad("limits.cores", "must be positive")
+	case s.Limits.Lateness < leastDuration:
+		return bad("limits.lateness", "must be at least %s, with a unit", leastDuration)
 	case !slices.Contains(logLevels, s.Log.Level):
 		return bad("log.level", "%q is not one of %v", s.Log.Level, logLevels)
 	case s.Log.Rate <= 0:
