--- a/pkg/steer/apply.go
+++ b/pkg/steer/apply.go
@@ -108,6 +108,14 @@
 	return h.pools[name]
 }
 
+func (h *Host) eachPool(fn func(*pool)) {
+	h.poolsMu.RLock()
+	defer h.poolsMu.RUnlock()
+	for _, p := range h.pools {
+		fn(p)
+	}
+}
+
 func (h *Host) regionOf(domain string) string { return h.cfg().Regions[domain] }
 
 func (h *Host) isEvacuated(domain string) bool { return (*h.evacuated.Load())[domain] }
--- /dev/null
+++ b/pkg/steer/lab_test.go
@@ -0,0 +1,268 @@
+package steer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
+	"github.com/tamarackswitch/tamarackswitch/pkg/standin/freeport"
+	"github.com/tamarackswitch/tamarackswitch/pkg/units"
+)
+
+// patience is a safety net for slow machines; no verdict depends on its length.
+const patience = 20 * time.Second
+
+// memorySource is a Source without a wire.
+type memorySource struct {
+	mu       sync.Mutex
+	revision int64
+	logs     [feed.Kinds]*feed.Log
+	hosts    map[string]fleet.EntryHost
+	changed  chan struct{}
+	down     bool
+	// hidden leaves the published hosts unread while the source is down.
+	hidden bool
+	calls  atomic.Int64
+}
+
+func newSource() *memorySource {
+	s := &memorySource{revision: 1, hosts: map[string]fleet.EntryHost{}, changed: make(chan struct{})}
+	for k := range s.logs {
+		s.logs[k] = feed.NewLog()
+		s.logs[k].Apply(feed.Changes{Revision: 1, Whole: true})
+	}
+	return s
+}
+
+func (s *memorySource) put(kind feed.Kind, item feed.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item.Revision = s.revision
+	s.logs[kind].Apply(feed.Changes{Revision: s.revision, Items: []feed.Item{item}})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memorySource) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memorySource) read(kind feed.Kind, after int64) (feed.Changes, chan struct{}, error) {
+	s.calls.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return feed.Changes{}, nil, io.ErrUnexpectedEOF
+	}
+	c := s.logs[kind].Since(after)
+	c.Revision = s.revision
+	return c, s.changed, nil
+}
+
+func (s *memorySource) List(_ context.Context, kind feed.Kind) (feed.Changes, error) {
+	c, _, err := s.read(kind, 0)
+	return c, err
+}
+
+func (s *memorySource) Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Changes, error) {
+	deadline := time.After(wait)
+	for {
+		c, changed, err := s.read(kind, after)
+		if err != nil || len(c.Items) > 0 {
+			return c, err
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return c, nil
+		case <-ctx.Done():
+			return c, ctx.Err()
+		}
+	}
+}
+
+func (s *memorySource) Register(_ context.Context, h fleet.EntryHost) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts[h.Name] = h
+	return nil
+}
+
+func (s *memorySource) Hosts(context.Context) ([]fleet.EntryHost, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down && s.hidden {
+		return nil, io.ErrUnexpectedEOF
+	}
+	var out []fleet.EntryHost
+	for _, h := range s.hosts {
+		out = append(out, h)
+	}
+	return out, nil
+}
+
+var testNames = Names{
+	LookupPath: "/lookup", ReadyPath: "/ready",
+	LookupDomain: func(r *http.Request) string { return r.URL.Query().Get("domain") },
+	LookupAnswer: func(addresses []string, life time.Duration) any {
+		return map[string]any{"hosts": addresses, "life": life.Seconds()}
+	},
+	Headers:     forward.Headers{RequestID: "Req-Id", Deadline: "Left-Ms", NotRun: "Not-Run", ExpectServer: "Expect-Server"},
+	ServerLoad:  "Load",
+	AffinityKey: func(r *http.Request) string { return r.Header.Get("Key") },
+}
+
+// testServer is a backend server whose answers a test chooses.
+type testServer struct {
+	id     string
+	url    string
+	mu     sync.Mutex
+	ids    []string // requests that ran
+	answer http.HandlerFunc
+}
+
+func newTestServer(t *testing.T, id string, answer http.HandlerFunc) *testServer {
+	t.Helper()
+	s := &testServer{id: id, answer: answer}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Expect-Server") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		s.mu.Lock()
+		s.ids = append(s.ids, r.Header.Get("Req-Id"))
+		s.mu.Unlock()
+		w.Header().Set("Req-Id", r.Header.Get("Req-Id"))
+		w.Header().Set("Stamp", "stamp-"+id)
+		w.Header().Set("Load", "1,0,4")
+		s.answer(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	s.url = strings.TrimPrefix(srv.URL, "http://")
+	return s
+}
+
+func (s *testServer) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ids)
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func unmarked(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+
+func broken(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+func failing(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+
+func hanging(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// freeAddress returns a loopback address that no other test gets.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	address, err := freeport.Address()
+	require.NoError(t, err)
+	return address
+}
+
+func startHost(t *testing.T, source Source, name, domain string) *Host {
+	t.Helper()
+	cfg := &Settings{
+		Name: name, Domain: domain, Regions: map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"},
+		Listen: Listen{
+			Caller: freeAddress(t), Ready: freeAddress(t), Lookup: freeAddress(t), Control: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t),
+		},
+		// Other tests on the machine must not make a host reject requests.
+		Limits: Limits{CPUShare: 1, Cores: 1, Lateness: units.Duration(patience)},
+		Bounds: Bounds{
+			Grace: units.Duration(6 * time.Second), LookupLife: units.Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100,
+			RetryWindow: units.Duration(10 * time.Second),
+		},
+		Log: Log{Level: "warn", Rate: 100},
+	}
+	h := New(cfg, testNames, source, &log.Logger{Level: log.WarnLevel, Writer: log.IOWriter{Writer: io.Discard}})
+	require.NoError(t, h.Start())
+	t.Cleanup(func() { _ = h.Stop() })
+	return h
+}
+
+func putTable(s *memorySource, version int64) {
+	route := fleet.Route{
+		Name: "safe", Host: "a.example", Prefix: "/safe/", Targets: []fleet.Target{{Pool: "p", Weight: 1}}, Idempotent: true,
+		Timeout: 2 * time.Second, TargetLatency: 200 * time.Millisecond, MaxAttempts: 2, Sticky: true,
+	}
+	once := route
+	once.Name, once.Prefix, once.Idempotent = "once", "/once/", false
+	short := route
+	short.Name, short.Prefix, short.Timeout = "short", "/short/", 300*time.Millisecond
+	s.put(feed.Tables, feed.Item{Name: "main", Table: &fleet.Table{
+		Version: version, Routes: []fleet.Route{route, once, short}, Pools: []fleet.Pool{{Name: "p", ColdRate: 5}},
+	}})
+}
+
+func putServer(s *memorySource, server *testServer, domain string) {
+	s.put(feed.Servers, feed.Item{Name: server.id, Server: &fleet.Server{
+		ID: server.id, Pool: "p", Address: server.url, Domain: domain, Slots: 4, Born: 1,
+	}})
+}
+
+// lab is one host with its servers.
+func lab(t *testing.T, answers map[string]http.HandlerFunc) (*Host, map[string]*testServer, *memorySource) {
+	t.Helper()
+	source := newSource()
+	putTable(source, 3)
+	servers := map[string]*testServer{}
+	for id, answer := range answers {
+		servers[id] = newTestServer(t, id, answer)
+		putServer(source, servers[id], "a-1")
+	}
+	h := startHost(t, source, "h1", "a-1")
+	ready(t, h, len(answers))
+	return h, servers, source
+}
+
+func ready(t *testing.T, h *Host, servers int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return h.ready() && h.Dump().Servers["p"] == servers && h.dispatches("p") }, patience, 5*time.Millisecond)
+}
+
+func get(t *testing.T, h *Host, method, path string, header ...string) (int, http.Header, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+h.self.Caller+path, nil)
+	require.NoError(t, err)
+	req.Host = "a.example"
+	req.Header.Set("Req-Id", fmt.Sprint(time.Now().UnixNano()))
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, resp.Header, string(body)
+}
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -1,59 +1,34 @@
 package steer
 
 import (
-	"context"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/groups"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/rendezvous"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
-	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
-// Times and sizes of the messages between entry hosts.
+// Times after which a host counts as gone.
 const (
-	// beaconEvery is the shortest interval of the beacons to hosts of the same
-	// failure domain, beaconFar of those to the other domains of the group. They
-	// grow with the number of hosts, so that a host's cost does not, up to
-	// beaconMost, of which peerLife holds three.
-	beaconEvery   = 60 * time.Millisecond
-	beaconFar     = 120 * time.Millisecond
-	beaconPerHost = 10 * time.Millisecond
-	beaconMost    = 350 * time.Millisecond
-	// digestEvery is the interval of the digests to hosts of other groups.
-	digestEvery = 300 * time.Millisecond
 	// peerLife is the time without a beacon after which a host counts as gone,
 	// digestLife that for a host of another group: its last beacon was heard up to
 	// beaconMost before the digest, and digests are lost.
-	peerLife    = 1200 * time.Millisecond
-	digestLife  = 2500 * time.Millisecond
-	maxDatagram = 1400 // bytes, one packet
-	// bufferDatagram takes datagrams that are larger than one packet.
-	bufferDatagram = 64 << 10
+	peerLife   = 1200 * time.Millisecond
+	digestLife = 2500 * time.Millisecond
+	// forgetAfter is how long a silent host is kept in the list.
+	forgetAfter = 30 * time.Second
 	// processGap is longer than datagrams are late, and than the interval of any
 	// beacons.
 	processGap = 500 * time.Millisecond
 	// joinedTime is how long beacons and digests describe hosts because one is
-	// new, and describeEvery the interval of the descriptions otherwise.
-	joinedTime    = 2 * time.Second
-	describeEvery = time.Second
-	// hostsFirst and hostsMost bound the interval at which the published hosts
-	// are read; beacons tell of new hosts at once.
-	hostsFirst = 400 * time.Millisecond
-	hostsMost  = 10 * time.Second
-	// hostsLeast is the shortest time between two readings because an unknown
-	// host was sighted.
-	hostsLeast = time.Second
-	// forgetAfter is how long a silent host is kept in the list.
-	forgetAfter = 30 * time.Second
+	// new.
+	joinedTime = 2 * time.Second
 )
 
 // peerState is what is known of another host.
@@ -401,216 +376,3 @@
 	slices.Sort(out)
 	return out
 }
-
-// startPeers publishes this host, finds the others and exchanges beacons.
-func (h *Host) startPeers(conn net.PacketConn) {
-	udp := conn.(*net.UDPConn)
-	h.udp = udp
-	h.tomb.Go(func() error {
-		<-h.tomb.Dying()
-		return udp.Close()
-	})
-	h.tomb.Go(func() error { return h.hearDatagrams(udp) })
-	var near, far, digest, nearFull, farFull time.Time
-	h.every(beaconEvery, func(now time.Time) {
-		h.updateView(now)
-		pause := time.Duration(h.peers.groupSize()) * beaconPerHost
-		// due reports whether an interval has passed since the time, which it then sets.
-		due := func(last *time.Time, interval time.Duration) bool {
-			if now.Sub(*last) < interval-beaconEvery/2 {
-				return false
-			}
-			*last = now
-			return true
-		}
-		if due(&near, min(max(pause, beaconEvery), beaconMost)) {
-			h.sendBeacons(h.peers.targets(now, true), due(&nearFull, describeEvery))
-		}
-		if due(&far, min(max(pause, beaconFar), beaconMost)) {
-			h.sendBeacons(h.peers.targets(now, false), due(&farFull, describeEvery))
-		}
-		if due(&digest, digestEvery) {
-			h.sendDigest(now)
-		}
-		for _, name := range h.peers.silent(now, beaconEvery) {
-			h.log.peerLost(name)
-			h.eachPool(func(p *pool) { p.forget(now, name) })
-		}
-	})
-	h.every(reportEvery, h.sendReports)
-	h.every(expireEvery, h.expireFlights)
-	h.every(stateEvery, h.logPools)
-	h.tomb.Go(h.publish)
-	h.tomb.Go(h.readHosts)
-}
-
-// sendBeacons tells hosts that this one lives. A full beacon describes it.
-func (h *Host) sendBeacons(targets []netip.AddrPort, full bool) {
-	now := time.Now()
-	b := beacon{Leaving: h.leaving.Load(), Ready: h.ready(), Loads: map[string]int{}}
-	if full || h.peers.joining(now) {
-		b.Host = &h.self
-	}
-	dispatchers := h.view.Load().dispatchers
-	loaded := map[string]bool{} // dispatchers of the pools with loads
-	h.eachPool(func(p *pool) {
-		before := len(b.Loads)
-		if p.loads(dispatchers[p.name], b.Loads); len(b.Loads) > before {
-			loaded[dispatchers[p.name]] = true
-		}
-	})
-	h.follow.describe(now, &b)
-	h.sendAll(append(targets, h.peers.outside(loaded)...), &datagram{Beacon: &b})
-}
-
-// sendDigest tells some hosts of other groups which members of the own one
-// live.
-func (h *Host) sendDigest(now time.Time) {
-	seen, joined, to := h.peers.digest(now, h.leaving.Load(), h.ready())
-	h.sendAll(to, &datagram{Digest: seen, Joined: joined})
-}
-
-// beaconNow tells the region of a change at once.
-func (h *Host) beaconNow() {
-	now := time.Now()
-	h.sendBeacons(append(h.peers.targets(now, true), h.peers.targets(now, false)...), false)
-}
-
-// hearDatagrams handles what other hosts send, one datagram at a time.
-func (h *Host) hearDatagrams(conn *net.UDPConn) error {
-	buf := make([]byte, bufferDatagram)
-	for {
-		n, addr, err := conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			if h.tomb.Alive() {
-				h.log.warn(err, "reading a datagram failed")
-				continue
-			}
-			return nil
-		}
-		var d datagram
-		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
-			h.log.warn(err, "malformed datagram")
-			continue
-		}
-		if d.From != h.self.Name {
-			h.handleDatagram(addr, &d)
-		}
-	}
-}
-
-func (h *Host) handleDatagram(addr netip.AddrPort, d *datagram) {
-	before, known := h.peers.get(d.From)
-	if !known && d.Beacon == nil && h.table.Load() == nil {
-		// Another region sends reports here. It has tables, and the store may be away.
-		h.sendBeacons([]netip.AddrPort{addr}, true)
-	}
-	if d.Done != nil {
-		h.handleDone(d.From, d.Done)
-	}
-	if d.Ask != nil {
-		h.handleAsk(d.From, addr, d.Ask)
-	}
-	if d.Grant != nil {
-		h.handleGrant(d.From, d.Grant)
-	}
-	if d.Report != nil {
-		h.handleReport(d.From, d.Report)
-	}
-	for _, host := range d.Joined {
-		if err := h.peers.meet(time.Now(), host); err != nil {
-			h.log.warn(err, "digest ignored")
-		}
-	}
-	if d.Digest != nil && h.peers.sight(time.Now(), d.Digest) {
-		select {
-		case h.hostsWanted <- struct{}{}:
-		default: // already wanted
-		}
-	}
-	if d.Beacon != nil {
-		heard, err := h.peers.hear(time.Now(), d.From, d.Started, d.Beacon)
-		if err != nil {
-			h.log.warn(err, "beacon ignored")
-			return
-		}
-		if !heard {
-			// The sender learns of this host and then describes itself.
-			h.sendBeacons([]netip.AddrPort{addr}, true)
-			return
-		}
-		now := time.Now()
-		if known && before.host.Started == d.Started && !before.heard.IsZero() && !before.alive(now) {
-			h.log.peerRegained(d.From, now.Sub(before.heard))
-		}
-		if d.Beacon.Host != nil && d.Beacon.Host.Region != h.region {
-			// Hosts of other regions send beacons only to learn of this one's copy.
-			h.answerBeacon(addr, d)
-			return
-		}
-		h.takeLoads(d.From, d.Beacon.Loads)
-		if h.follow.follows(d.From) {
-			h.fetch(time.Now(), d.From)
-		}
-	}
-}
-
-// answerBeacon answers a beacon of another region, which the answer ends.
-func (h *Host) answerBeacon(addr netip.AddrPort, d *datagram) {
-	if h.table.Load() != nil && d.Beacon.Versions[feed.Tables] == 0 {
-		h.sendBeacons([]netip.AddrPort{addr}, true)
-	}
-}
-
-// takeLoads gives each pool the requests in progress of another host.
-func (h *Host) takeLoads(host string, loads map[string]int) {
-	h.eachPool(func(p *pool) { p.peerLoad(host, loads) })
-}
-
-func (h *Host) eachPool(fn func(*pool)) {
-	h.poolsMu.RLock()
-	defer h.poolsMu.RUnlock()
-	for _, p := range h.pools {
-		fn(p)
-	}
-}
-
-// publish registers this host until the store has accepted it.
-func (h *Host) publish() error {
-	ctx := h.tomb.Context(context.Background())
-	for pause := hostsFirst; ; pause = min(2*pause, hostsMost) {
-		err := h.source.Register(ctx, h.self)
-		if err == nil || !h.tomb.Alive() {
-			return nil
-		}
-		h.log.warn(err, "this host could not be published")
-		if !wait.For(ctx, pause) {
-			return nil
-		}
-	}
-}
-
-// readHosts reads the published hosts, less often as time passes, and when an
-// unknown host was sighted.
-func (h *Host) readHosts() error {
-	ctx := h.tomb.Context(context.Background())
-	for pause := hostsFirst; ctx.Err() == nil; pause = min(2*pause, hostsMost) {
-		hosts, err := h.source.Hosts(ctx)
-		if err != nil && ctx.Err() == nil {
-			h.log.warn(err, "the published hosts could not be read")
-		}
-		for _, host := range hosts {
-			if err := h.peers.add(host); err != nil {
-				h.log.warn(err, "published host ignored")
-			}
-		}
-		h.hostsRead.Store(true)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		case <-h.hostsWanted:
-			wait.For(ctx, hostsLeast)
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/pkg/steer/request_test.go
@@ -0,0 +1,198 @@
+package steer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+// Guards against an answer that loses the server's body or stamp.
+func TestAnswerIsPassedOn(t *testing.T) {
+	h, servers, _ := lab(t, map[string]http.HandlerFunc{"s1": ok})
+	status, header, body := get(t, h, "GET", "/safe/x")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "stamp-s1", header.Get("Stamp"))
+	require.Equal(t, "answer", body)
+	require.Equal(t, 1, servers["s1"].count())
+}
+
+// Guards against refusals that are wrong or promise what is not true.
+func TestRefusals(t *testing.T) {
+	for name, tc := range map[string]struct {
+		method, path string
+		answer       http.HandlerFunc
+		header       []string
+		status       int
+		code         int
+		run          string
+		returns      bool
+	}{
+		"no route":              {"GET", "/other", ok, nil, 404, 1001, "not-run", false},
+		"bad deadline":          {"GET", "/safe/", ok, []string{"Left-Ms", "soon"}, 400, 1004, "not-run", false},
+		"all shed":              {"GET", "/safe/", shed, nil, 503, 3005, "not-run", true},
+		"once, shed":            {"POST", "/once/", shed, nil, 503, 3005, "not-run", true},
+		"once, connection lost": {"POST", "/once/", broken, nil, 502, 3002, "unknown", false},
+		"once, no answer":       {"POST", "/once/", hanging, []string{"Left-Ms", "200"}, 504, 3004, "unknown", false},
+		"once, 503 after a run": {"POST", "/once/", unmarked, nil, 502, 3007, "run", false},
+		"timeout of the route":  {"GET", "/short/", hanging, nil, 504, 3004, "unknown", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": tc.answer})
+			status, header, body := get(t, h, tc.method, tc.path, tc.header...)
+			require.Equal(t, tc.status, status, body)
+			var got struct {
+				Code int    `json:"code"`
+				Run  string `json:"run"`
+			}
+			require.NoError(t, json.Unmarshal([]byte(body), &got))
+			require.Equal(t, tc.code, got.Code, body)
+			require.Equal(t, tc.run, got.Run)
+			require.Equal(t, tc.returns, header.Get("Retry-After") != "")
+		})
+	}
+}
+
+// Guards against a server's own answer that looks like a promise that a request
+// was not run, although it ran.
+func TestFailureOfTheServerIsPassedOn(t *testing.T) {
+	h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": failing})
+	status, header, _ := get(t, h, "POST", "/once/x")
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Equal(t, "stamp-s1", header.Get("Stamp"))
+}
+
+// Guards against running a request twice that may run once, and against giving
+// up on one that may be repeated.
+func TestRepeats(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path   string
+		bad    http.HandlerFunc
+		served bool
+	}{
+		"safe, shed":             {"/safe/", shed, true},
+		"safe, failure":          {"/safe/", failing, true},
+		"safe, connection lost":  {"/safe/", broken, true},
+		"once, shed":             {"/once/", shed, true},
+		"once, failure":          {"/once/", failing, false},
+		"once, connection lost":  {"/once/", broken, false},
+		"safe, wrong server":     {"/safe/", nil, true},
+		"once, wrong server":     {"/once/", nil, true},
+		"safe, server not there": {"/safe/", nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bad := tc.bad
+			if bad == nil {
+				bad = ok
+			}
+			h, servers, source := lab(t, map[string]http.HandlerFunc{"s1": ok, "s2": bad})
+			switch {
+			case strings.HasSuffix(name, "wrong server"):
+				source.put(feed.Servers, feed.Item{Name: "s2", Server: &fleet.Server{
+					ID: "other", Pool: "p", Address: servers["s2"].url, Domain: "a-1", Slots: 4, Born: 2,
+				}})
+			case strings.HasSuffix(name, "not there"):
+				source.put(feed.Servers, feed.Item{Name: "s2", Server: &fleet.Server{
+					ID: "s2", Pool: "p", Address: freeAddress(t), Domain: "a-1", Slots: 4, Born: 2,
+				}})
+			}
+			served := 0
+			for i := range 40 {
+				status, _, _ := get(t, h, "POST", tc.path, "Key", fmt.Sprint(i))
+				if status == http.StatusOK {
+					served++
+				}
+			}
+			if tc.served {
+				require.Equal(t, 40, served)
+			} else {
+				require.Less(t, served, 40)
+			}
+			ids := map[string]int{}
+			for _, s := range servers {
+				for _, id := range s.ids {
+					ids[id]++
+				}
+			}
+			if !tc.served {
+				for id, n := range ids {
+					require.Equal(t, 1, n, id)
+				}
+			}
+		})
+	}
+}
+
+// Guards against work that goes on for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	}})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+h.self.Caller+"/safe/", nil)
+	require.NoError(t, err)
+	req.Host = "a.example"
+	_, err = http.DefaultTransport.RoundTrip(req)
+	require.Error(t, err)
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the server goes on working")
+	}
+	require.Eventually(t, func() bool { return len(h.Dump().Loads) == 0 }, patience, 5*time.Millisecond)
+}
+
+// Guards against statuses that promise that a request was not run, although
+// nobody knows.
+func TestMalformedLoadIsIgnored(t *testing.T) {
+	for _, text := range []string{"", "1", "a,b,c", "1,x,3"} {
+		_, _, ok := parseLoad(text)
+		require.False(t, ok, text)
+	}
+	running, waiting, ok := parseLoad("3, 2,8")
+	require.True(t, ok)
+	require.Equal(t, []int{3, 2}, []int{running, waiting})
+	require.Equal(t, placing.Answered, placing.Outcome(0))
+}
+
+// Guards against tables with many routes that do not reach the hosts of a group
+// or whose routes are not found.
+func TestManyRoutes(t *testing.T) {
+	const routes = 3000
+	source := newSource()
+	putTable(source, 1)
+	putServer(source, newTestServer(t, "s1", ok), "a-1")
+	h1, h2 := startHost(t, source, "h1", "a-1"), startHost(t, source, "h2", "a-1")
+	ready(t, h1, 1)
+	table := fleet.Table{Version: 2, Pools: []fleet.Pool{{Name: "p"}}}
+	for i := range routes {
+		table.Routes = append(table.Routes, fleet.Route{
+			Name: fmt.Sprintf("r-%d", i), Host: "a.example", Prefix: fmt.Sprintf("/r%d/", i), Targets: []fleet.Target{{Pool: "p", Weight: 1}},
+			Timeout: time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: 1,
+		})
+	}
+	source.put(feed.Tables, feed.Item{Name: "main", Table: &table})
+	for _, h := range []*Host{h1, h2} {
+		require.Eventually(t, func() bool { return h.Dump().TableVersion == 2 && h.Dump().Servers["p"] == 1 }, patience, 5*time.Millisecond)
+		for _, i := range []int{0, 1, routes - 1} {
+			status, _, _ := get(t, h, "GET", fmt.Sprintf("/r%d/x", i))
+			require.Equal(t, http.StatusOK, status)
+		}
+		status, _, _ := get(t, h, "GET", fmt.Sprintf("/r%d/x", routes))
+		require.Equal(t, http.StatusNotFound, status)
+	}
+}
