Do not take a late host's old copy for an outage of the store

The log shows a host that read late, so that its copy was 3.0 s old; it then took the server's entry for one that lapsed while the store was away and kept the server for 2 s. The other hosts of the region dropped it 0.3 s after it left.

Ruled out: a store that was away at that time (the region's watcher had all answers), and the rule for servers that vanish together (one vanished).

TestLateHostTrustsItsSource, TestLateHostDropsServersThatLeft, TestLateHostSeesNoOutage; both of pkg/steer fail without the change.

--- a/pkg/core/overload/overload.go
+++ b/pkg/core/overload/overload.go
@@ -22,6 +22,9 @@
 	// latest bounds a measurement: a process that was stopped for seconds is not
 	// overloaded once it goes on.
 	latest = 250 * time.Millisecond
+	// behindTime is how long a process counts as behind. It is longer than the age
+	// at which a copy of the store is taken for a sign of an outage (2.5 s).
+	behindTime = 4 * time.Second
 	// weight of a new measurement in the mean, so that one late read among
 	// punctual ones rejects nothing.
 	weight = 0.3
@@ -32,6 +35,7 @@
 type Guard struct {
 	mu         sync.Mutex
 	mean, full time.Duration
+	behind     time.Time // of the last measurement of latest or more
 }
 
 // New returns a Guard. full is the lateness at which it rejects all requests.
@@ -45,13 +49,24 @@
 }
 
 // Measure takes in how late the process read, or how late it is already.
-func (g *Guard) Measure(late time.Duration) {
+func (g *Guard) Measure(now time.Time, late time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if late >= latest {
+		g.behind = now
+	}
 	late = min(max(late, 0), latest)
 	g.mean += time.Duration(weight * float64(late-g.mean))
 }
 
+// Behind reports whether the process was so late lately that it may have missed
+// what others were in time for, or stood still.
+func (g *Guard) Behind(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.behind.IsZero() && now.Sub(g.behind) < behindTime
+}
+
 // Late returns the mean lateness.
 func (g *Guard) Late() time.Duration {
 	g.mu.Lock()
--- a/pkg/core/overload/overload_test.go
+++ b/pkg/core/overload/overload_test.go
@@ -55,7 +55,7 @@
 		sent := h.sched.Now()
 		h.do(func() time.Duration {
 			if h.guard != nil {
-				h.guard.Measure(h.sched.Now().Sub(sent))
+				h.guard.Measure(h.sched.Now(), h.sched.Now().Sub(sent))
 			}
 			h.measure()
 			return 0
@@ -130,7 +130,7 @@
 	}
 	g := New(Full)
 	for range 100 {
-		g.Measure(time.Minute)
+		g.Measure(vtime.Epoch, time.Minute)
 	}
 	require.True(t, g.Rejects(0, 1, 0.99), "a host that is far behind rejects all")
 }
@@ -144,9 +144,21 @@
 		require.GreaterOrEqual(t, float64(h.inTime[0]+h.inTime[1]+h.inTime[2]), 0.995*float64(all)-5, "seed %d", seed)
 	}
 	g := New(Full)
-	g.Measure(5 * time.Second)
+	g.Measure(vtime.Epoch, 5*time.Second)
 	for range 4 {
-		g.Measure(0)
+		g.Measure(vtime.Epoch, 0)
 	}
 	require.False(t, g.Rejects(2, 3, 0))
 }
+
+// Guards against a process that is taken for punctual right after it was far
+// behind, for longer than that matters, and in small delays.
+func TestBehind(t *testing.T) {
+	g := New(Full)
+	now := vtime.Epoch
+	g.Measure(now, latest-1)
+	require.False(t, g.Behind(now))
+	g.Measure(now, latest)
+	require.True(t, g.Behind(now.Add(behindTime-1)))
+	require.False(t, g.Behind(now.Add(behindTime)))
+}
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -36,11 +36,12 @@
 	// answered again.
 	down     bool
 	returned time.Time
+	started  time.Time // of this process
 }
 
 // New returns an empty registry.
-func New() *Registry {
-	return &Registry{servers: map[string]fleet.Server{}, lapsed: map[string]time.Time{}, versions: map[string]int{}}
+func New(now time.Time) *Registry {
+	return &Registry{servers: map[string]fleet.Server{}, lapsed: map[string]time.Time{}, versions: map[string]int{}, started: now}
 }
 
 // Observe takes the age of what is known of the store: an old copy means that
@@ -54,6 +55,25 @@
 	}
 }
 
+// SinceReturn returns the time since the store was last away, 0 while it is.
+// What was before this process started is not known: the store may have been
+// away until then.
+func (r *Registry) SinceReturn(now time.Time) time.Duration {
+	switch {
+	case r.down:
+		return 0
+	case r.returned.Before(r.started):
+		return now.Sub(r.started)
+	}
+	return now.Sub(r.returned)
+}
+
+// Trust takes the word of a host with a current copy on when the store was last
+// away. The own copy may be old because this host was late, not the store.
+func (r *Registry) Trust(now time.Time, sinceReturn time.Duration) {
+	r.down, r.returned = false, now.Add(-sinceReturn)
+}
+
 // Set takes the servers that the store lists now. Servers that are missing
 // leave at once, unless the store was away: then they stay until they had the
 // time to announce themselves again.
--- a/pkg/core/registry/registry_test.go
+++ b/pkg/core/registry/registry_test.go
@@ -24,7 +24,7 @@
 
 // Guards against sending to a server after the store no longer lists it.
 func TestVanishedServerLeavesAtOnce(t *testing.T) {
-	r := New()
+	r := New(start)
 	r.Set(start, servers(1, 2, 3, 4))
 	r.Set(start.Add(10*time.Second), servers(1, 2, 3))
 	require.Equal(t, 3, known(r))
@@ -33,7 +33,7 @@
 // Guards against losing a whole pool because its entries lapsed while the store
 // was away, and against keeping servers that do not come back.
 func TestEntriesLapseDuringAnOutage(t *testing.T) {
-	r := New()
+	r := New(start)
 	r.Set(start, servers(1, 2, 3, 4))
 	r.Observe(start.Add(3*time.Second), 3*time.Second)
 	returned := start.Add(8 * time.Second)
@@ -46,10 +46,48 @@
 	require.Equal(t, 2, known(r))
 }
 
+// Guards against keeping a server that left because this host was late and took
+// that for an outage of the store: a host with a current copy knows better.
+func TestLateHostTrustsItsSource(t *testing.T) {
+	now := start.Add(10 * time.Second)
+	source, late := New(start), New(start)
+	for _, r := range []*Registry{source, late} {
+		r.Set(start, servers(1, 2, 3, 4))
+	}
+	source.Set(now.Add(-3*time.Second), servers(1, 2, 3))
+	late.Observe(now, 4*time.Second)
+	late.Trust(now, source.SinceReturn(now))
+	late.Set(now, servers(1, 2, 3))
+	require.Equal(t, 3, known(late))
+}
+
+// Guards against losing servers that lapsed during an outage because the source
+// of the list had no part in it, or just started.
+func TestSourceTellsOfAnOutage(t *testing.T) {
+	returned := start.Add(10 * time.Second)
+	source := New(start)
+	source.Set(start, servers(1, 2, 3, 4))
+	source.Observe(start.Add(5*time.Second), 5*time.Second)
+	require.Zero(t, source.SinceReturn(start.Add(6*time.Second)))
+	source.Set(returned, nil)
+	young := New(returned)
+	young.Set(returned, nil)
+	now := returned.Add(time.Second)
+	for _, of := range []*Registry{source, young} {
+		late := New(start)
+		late.Set(start, servers(1, 2, 3, 4))
+		late.Trust(now, of.SinceReturn(now))
+		late.Set(now, servers(1))
+		require.Equal(t, 4, known(late))
+		late.Expire(returned.Add(returnTime))
+		require.Equal(t, 1, known(late))
+	}
+}
+
 // Guards against an outage that is too short to be noticed: servers that vanish
 // together are given time, but less than the drain bound of 2.5 s.
 func TestManyServersVanishTogether(t *testing.T) {
-	r := New()
+	r := New(start)
 	r.Set(start, servers(1, 2, 3, 4, 5, 6))
 	at := start.Add(10 * time.Second)
 	r.Set(at, servers(1, 2))
@@ -61,7 +99,7 @@
 // Guards against keeping a server that announced its leave, or whose address
 // another server has, because the store was away.
 func TestLeavingAndReplacedServersDoNotLapse(t *testing.T) {
-	r := New()
+	r := New(start)
 	list := servers(1, 2, 3, 4)
 	list[0].Draining = true
 	r.Set(start, list)
@@ -79,7 +117,7 @@
 // Guards against pools that are updated though none of their servers changed,
 // and against changes that are missed.
 func TestVersionChangesWithThePool(t *testing.T) {
-	r := New()
+	r := New(start)
 	now := time.Unix(100, 0)
 	list := []fleet.Server{{ID: "a", Pool: "p", Address: "1"}, {ID: "b", Pool: "q", Address: "2"}}
 	r.Set(now, list)
--- a/pkg/steer/apply.go
+++ b/pkg/steer/apply.go
@@ -51,9 +51,11 @@
 
 // expireServers removes servers whose entry lapsed and did not come back.
 func (h *Host) expireServers(now time.Time) {
-	age := h.follow.age(now)
+	age, behind := h.follow.age(now), h.guard.Behind(now)
 	h.registryMu.Lock()
-	h.registry.Observe(now, age)
+	if !behind { // otherwise the copy may be old because this host is late
+		h.registry.Observe(now, age)
+	}
 	changed := h.registry.Expire(now)
 	h.registryMu.Unlock()
 	if changed {
--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -252,6 +252,8 @@
 	// AgeMS is the age of the copy.
 	AgeMS   int64                     `cbor:"1,keyasint"`
 	Changes [feed.Kinds]*feed.Changes `cbor:"2,keyasint"`
+	// SinceReturnMS is the time since the store was last away.
+	SinceReturnMS int64 `cbor:"3,keyasint"`
 }
 
 // serveFeed answers a follower with what changed after its revisions.
@@ -260,6 +262,9 @@
 	f := h.follow
 	now := time.Now()
 	var out feedAnswer
+	h.registryMu.Lock()
+	out.SinceReturnMS = h.registry.SinceReturn(now).Milliseconds()
+	h.registryMu.Unlock()
 	f.mu.Lock()
 	out.AgeMS = f.ageLocked(now).Milliseconds()
 	for kind := range feed.Kinds {
@@ -358,7 +363,11 @@
 	if err := cbor.Unmarshal(raw.Bytes(), &got); err != nil {
 		return errors.Trace(err)
 	}
-	complete := time.Now().Add(-time.Duration(got.AgeMS) * time.Millisecond)
+	now := time.Now()
+	complete := now.Add(-time.Duration(got.AgeMS) * time.Millisecond)
+	h.registryMu.Lock()
+	h.registry.Trust(now, time.Duration(got.SinceReturnMS)*time.Millisecond)
+	h.registryMu.Unlock()
 	for kind, c := range got.Changes {
 		if c != nil {
 			h.take(feed.Kind(kind), *c, complete)
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -101,7 +101,7 @@
 			Control: cmp.Or(cfg.Advertise.Control, cfg.Listen.Control),
 		},
 		hostsWanted: make(chan struct{}, 1), guard: overload.New(cfg.Limits.Lateness.Std()),
-		follow: newFollower(time.Now()), registry: registry.New(), pools: map[string]*pool{},
+		follow: newFollower(time.Now()), registry: registry.New(time.Now()), pools: map[string]*pool{},
 		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}),
 	}
 	h.settings.Store(cfg)
--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/registry"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/units"
 )
@@ -198,6 +199,63 @@
 	}
 }
 
+// Guards against a server that gets requests after it left, from a host that was
+// late itself and takes its old copy for an outage of the store.
+func TestLateHostDropsServersThatLeft(t *testing.T) {
+	source := newSource()
+	putTable(source, 1)
+	for _, id := range []string{"s1", "s2"} {
+		putServer(source, newTestServer(t, id, ok), "a-1")
+	}
+	leader, late := startHost(t, source, "h1", "a-1"), startHost(t, source, "h2", "a-1")
+	require.Eventually(t, func() bool {
+		return leader.follow.follows("h2") || late.follow.follows("h1")
+	}, patience, time.Millisecond)
+	if leader.follow.follows("h2") {
+		leader, late = late, leader
+	}
+	within := func(h *Host, fn func(*registry.Registry)) {
+		h.registryMu.Lock()
+		defer h.registryMu.Unlock()
+		fn(h.registry)
+	}
+	// The leader has known the store for longer than servers may take to return.
+	require.Eventually(t, func() bool {
+		var since time.Duration
+		within(leader, func(r *registry.Registry) { since = r.SinceReturn(time.Now()) })
+		return since > 3*time.Second
+	}, patience, 10*time.Millisecond)
+	within(late, func(r *registry.Registry) { r.Observe(time.Now(), 10*time.Second) })
+	source.put(feed.Servers, feed.Item{Name: "s2", Deleted: true})
+	known, lapsed := 2, 0
+	require.Eventually(t, func() bool {
+		within(late, func(r *registry.Registry) { known, lapsed = r.Counts() })
+		return known == 1 || lapsed == 1
+	}, patience, time.Millisecond)
+	require.Zero(t, lapsed)
+}
+
+// Guards against a server that gets requests after it left, from a host that
+// asks the store itself and was late: its old copy is no sign of an outage.
+func TestLateHostSeesNoOutage(t *testing.T) {
+	h, _, source := lab(t, map[string]http.HandlerFunc{"s1": ok, "s2": ok})
+	source.setDown(true)
+	require.Eventually(t, func() bool {
+		h.guard.Measure(time.Now(), time.Second)
+		return h.follow.age(time.Now()) > 3*time.Second
+	}, patience, 10*time.Millisecond)
+	source.setDown(false)
+	source.put(feed.Servers, feed.Item{Name: "s2", Deleted: true})
+	known, lapsed := 2, 0
+	require.Eventually(t, func() bool {
+		h.registryMu.Lock()
+		defer h.registryMu.Unlock()
+		known, lapsed = h.registry.Counts()
+		return known == 1 || lapsed == 1
+	}, patience, time.Millisecond)
+	require.Zero(t, lapsed)
+}
+
 // Guards against new settings that change what a running process cannot change.
 func TestReload(t *testing.T) {
 	h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": ok})
--- a/pkg/steer/overload.go
+++ b/pkg/steer/overload.go
@@ -43,14 +43,16 @@
 		case <-h.tomb.Dying():
 			return nil
 		case <-arrived:
-			h.guard.Measure(time.Since(sent))
+			now := time.Now()
+			h.guard.Measure(now, now.Sub(sent))
 			sent = time.Time{}
 		case <-t.C:
+			now := time.Now()
 			if !sent.IsZero() {
-				h.guard.Measure(time.Since(sent))
+				h.guard.Measure(now, now.Sub(sent))
 				break
 			}
-			sent = time.Now()
+			sent = now
 			if _, err := w.Write([]byte{0}); err != nil {
 				return errors.Annotate(err, "measurement of lateness")
 			}
--- a/pkg/steer/overload_test.go
+++ b/pkg/steer/overload_test.go
@@ -15,7 +15,7 @@
 	h, servers, _ := lab(t, map[string]http.HandlerFunc{"s1": ok})
 	late := func() {
 		for range 50 {
-			h.guard.Measure(time.Second)
+			h.guard.Measure(time.Now(), time.Second)
 		}
 	}
 	h.guard.SetFull(time.Millisecond)
@@ -39,7 +39,7 @@
 func TestLatenessIsMeasured(t *testing.T) {
 	h, _, _ := lab(t, map[string]http.HandlerFunc{"s1": ok})
 	for range 50 {
-		h.guard.Measure(time.Second)
+		h.guard.Measure(time.Now(), time.Second)
 	}
 	before := h.guard.Late()
 	require.Eventually(t, func() bool { return h.guard.Late() < before/4 }, patience, time.Millisecond)
