Let hosts that leave pass on their tables and the list of hosts

Shutdowns take 4.3 s, so that the hosts that are left when the first ones start again are leaving, and a host that leaves was no source of a copy. A region whose hosts were all down at once stayed without tables also after that: the restarted hosts of the other regions did not know its addresses, which only the store's list had.

Ruled out: the guard against overload (no code 2009 before second 29).

Change: (1) peers.ahead takes a host that leaves; (2) who has no tables gets the known entry hosts of all regions with the changes. The hosts of a region with tables then send their reports to the one without, which asks for theirs. TestHostThatLeavesPassesItsTablesOn fails without each of the two.

--- a/pkg/steer/follow.go
+++ b/pkg/steer/follow.go
@@ -254,6 +254,9 @@
 	Changes [feed.Kinds]*feed.Changes `cbor:"2,keyasint"`
 	// SinceReturnMS is the time since the store was last away.
 	SinceReturnMS int64 `cbor:"3,keyasint"`
+	// Hosts are the known entry hosts of all regions, for a follower without
+	// tables: it may have started while the store was away.
+	Hosts []fleet.EntryHost `cbor:"4,keyasint,omitempty"`
 }
 
 // serveFeed answers a follower with what changed after its revisions.
@@ -273,6 +276,9 @@
 		if err != nil || l.Revision() == 0 {
 			continue // the follower did not ask for the kind, or there is none
 		}
+		if kind == feed.Tables && after == 0 {
+			out.Hosts = h.peers.all()
+		}
 		c := l.Since(after)
 		for i, item := range c.Items {
 			if s := item.Server; s != nil && s.ColdFor > 0 {
@@ -368,6 +374,11 @@
 	h.registryMu.Lock()
 	h.registry.Trust(now, time.Duration(got.SinceReturnMS)*time.Millisecond)
 	h.registryMu.Unlock()
+	for _, host := range got.Hosts {
+		if err := h.peers.add(host); err != nil {
+			h.log.warn(err, "host in a peer's list ignored")
+		}
+	}
 	for kind, c := range got.Changes {
 		if c != nil {
 			h.take(feed.Kind(kind), *c, complete)
--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -393,6 +393,36 @@
 	}
 }
 
+// Guards against a deployment that stands still because all its hosts restart
+// one after the other while the store is away: a host that leaves is the only
+// one with tables.
+func TestHostThatLeavesPassesItsTablesOn(t *testing.T) {
+	source := newSource()
+	putTable(source, 7)
+	putServer(source, newTestServer(t, "s1", ok), "a-1")
+	h1, h2 := startHost(t, source, "h1", "a-1"), startHost(t, source, "h2", "a-1")
+	startHost(t, source, "h3", "b-1")
+	ready(t, h1, 1)
+	require.Eventually(t, func() bool {
+		_, known := h1.peers.get("h3")
+		return known && len(h1.peers.live(time.Now())) == 1
+	}, patience, 5*time.Millisecond)
+	require.NoError(t, h2.Stop())
+	source.hidden = true
+	source.setDown(true)
+	require.Eventually(t, func() bool { return h1.follow.age(time.Now()) > 2*feed.StaleAfter }, patience, 20*time.Millisecond)
+	gone := make(chan error, 1)
+	go func() { gone <- h1.Shutdown(t.Context()) }()
+	again := New(h2.cfg(), testNames, source, &log.Logger{Level: log.WarnLevel, Writer: log.IOWriter{Writer: io.Discard}})
+	require.NoError(t, again.Start())
+	t.Cleanup(func() { _ = again.Stop() })
+	require.NoError(t, <-gone)
+	require.True(t, again.ready())
+	require.Equal(t, 1, again.Dump().Servers["p"])
+	_, known := again.peers.get("h3")
+	require.True(t, known, "a host of another region, which the store would list")
+}
+
 // Guards against a region that waits for the store after all of its hosts were
 // restarted, although another region has the tables.
 func TestRegionRestartDuringAnOutage(t *testing.T) {
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -240,14 +240,14 @@
 
 // ahead returns the host whose copy of the store is the furthest ahead of the
 // given revisions, or "" if there is none. A host without any copy takes that of
-// another region, too.
+// another region, too. A host that leaves still has its copy.
 func (p *peers) ahead(now time.Time, revisions [feed.Kinds]int64) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	best, most := "", int64(0)
 	for name, s := range p.hosts {
 		abroad := s.host.Region != p.self.Region && revisions[feed.Tables] == 0
-		if !p.group[name] && !abroad || !s.alive(now) || s.far || s.leaving {
+		if !p.group[name] && !abroad || !s.alive(now) || s.far {
 			continue
 		}
 		lead := int64(0)
@@ -271,6 +271,17 @@
 	return peerState{}, false
 }
 
+// all returns the known hosts of all regions and this one.
+func (p *peers) all() []fleet.EntryHost {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := []fleet.EntryHost{p.self}
+	for _, s := range p.hosts {
+		out = append(out, s.host)
+	}
+	return out
+}
+
 // count returns the number of known hosts, this one included.
 func (p *peers) count() int {
 	p.mu.RLock()
