--- a/test/cluster/hedge_test.go
+++ b/test/cluster/hedge_test.go
@@ -96,7 +96,7 @@
 	for n := 0; retryCounts(c, "catalog").Hedges == before.Hedges || slow.Counts().Cancelled == 0 || n < 50; n++ {
 		require.True(t, time.Now().Before(deadline), "no request was hedged and cancelled")
 		r := send(t, at, http.MethodGet, "/catalog/1", "", fmt.Sprintf("look-up-%d", n))
-		require.Equal(t, http.StatusOK, r.status, r.refusal.Message)
+		require.Equal(t, http.StatusOK, r.status, "request %d: %s; %+v", n, r.refusal.Message, retryCounts(c, "catalog"))
 		require.NotEqual(t, "catalog-almaty-1-1", r.body.Server)
 	}
 	eventually(t, "all attempts at the hanging server are cancelled", func() bool { return slow.Counts().Running == 0 })
