Read the store entry by entry, check messages of hosts, end one task on a panic

Cause: a page of the store and the answer to a watch were decoded as a whole, so that one entry nested deeper than 10,000, a revision of 1e400 or a name that is a number kept every host from following the list for as long as it stood. Ports out of range and absurd numbers of slots were taken as servers. bounds.retry_extra was an integer, and a deployment scaled by the platform has a fraction there: the program did not start. net/http wrote lines of its own format.

Change: pages are split by gjson, which does not recurse; what cannot be decoded or fails fleet.Validate is skipped, logged once until it is mended, and counted. A configuration that cannot be read keeps the last one in the copies, too. Datagrams and copies of other hosts are checked for values outside their range. A panic ends one request, message or timer event. Lines of libraries go through the log. NaN and infinite settings are refused.

Ruled out: encoding/json per entry alone, because its scanner refuses the page by the depth of one entry before entries can be told apart.

--- a/pkg/cli/steer.go
+++ b/pkg/cli/steer.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -34,7 +35,9 @@
 				return err
 			}
 			logger := newLogger(cmd.OutOrStdout(), cfg.Log.Level)
-			host := steer.New(cfg, platform.Names(), platform.NewSource(cfg.Platform.Address, logger), logger)
+			host := steer.New(cfg, platform.Names(), platform.NewSource(cfg.Platform.Address), logger)
+			stdlog.SetFlags(0)
+			stdlog.SetOutput(host.LibraryLog())
 			go reloadOnHangup(hangups, host, file)
 			if err := host.Start(); err != nil {
 				return err
--- a/pkg/core/feed/feed.go
+++ b/pkg/core/feed/feed.go
@@ -42,6 +42,18 @@
 	// all others from its copy.
 	Complete bool   `cbor:"2,keyasint,omitempty"`
 	Items    []Item `cbor:"3,keyasint"`
+	// Keep names the objects whose present state could not be read and of which a
+	// copy keeps what it has.
+	Keep []string `cbor:"-"`
+	// Unreadable lists the objects of the store that could not be read.
+	Unreadable []Unreadable `cbor:"-"`
+}
+
+// Unreadable is an object of the store that could not be decoded.
+type Unreadable struct {
+	// Name is empty if the name could not be decoded either.
+	Name string
+	Err  error
 }
 
 // maxRemovals bounds the tombstones that are kept of one kind. A follower whose
@@ -106,6 +118,9 @@
 		changed = true
 	}
 	if c.Complete {
+		for _, name := range c.Keep {
+			seen[name] = true
+		}
 		for name := range l.items {
 			if !seen[name] {
 				changed = l.remove(name, c.Revision) || changed
--- a/pkg/core/placing/dispatcher.go
+++ b/pkg/core/placing/dispatcher.go
@@ -92,7 +92,7 @@
 // placement. A request that is not expected to get a slot is rejected at
 // once.
 func (d *Dispatcher) Offer(now time.Time, ref Ref, need Need, deadline time.Time) (_ Placement, queued bool) {
-	need.TimeLeft = deadline.Sub(now)
+	need.TimeLeft, need.Host = deadline.Sub(now), ref.Host
 	choice := d.Pick(now, need)
 	maxWait := min(secondsToDuration(need.Target.Seconds()*MaxWaitShare), need.TimeLeft-choice.Expected)
 	if choice.Verdict == Wait && len(d.queue) < maxWaiting && d.expectedWait(now, need) < maxWait {
--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -74,6 +74,8 @@
 	// Regions are the only regions that may run the request; if empty, all
 	// may.
 	Regions []string
+	// Host is the entry host that sends the request.
+	Host string
 }
 
 // Verdict is the decision about a request.
@@ -185,11 +187,14 @@
 
 // Update replaces the servers of the pool. A cold server gets at most
 // coldRate requests per second. regionOf returns the region of a failure
-// domain.
+// domain, or "" for an unknown one, whose servers are left out.
 func (p *Pool) Update(now time.Time, list []fleet.Server, coldRate float64, regionOf func(domain string) string) {
 	p.coldRate = coldRate
 	seen := map[string]bool{}
 	for _, f := range list {
+		if regionOf(f.Domain) == "" {
+			continue
+		}
 		seen[f.ID] = true
 		s := p.servers[f.ID]
 		if s == nil || s.StartedMS != f.StartedMS || s.Address != f.Address {
--- a/pkg/core/placing/placing_test.go
+++ b/pkg/core/placing/placing_test.go
@@ -57,7 +57,7 @@
 	for i := range 20 {
 		require.Equal(t, "b", p.Pick(now, need(fmt.Sprint(i))).Server.ID[:1])
 	}
-	_, ok := p.Server(now, "a1")
+	_, ok := p.Server(now, "a1", "h")
 	require.False(t, ok, "an evacuated server accepts no requests")
 }
 
--- a/pkg/core/placing/recent_keys.go
+++ b/pkg/core/placing/recent_keys.go
@@ -11,6 +11,9 @@
 // estimated per class.
 type ReuseClass int
 
+// Valid reports whether c is one of the classes.
+func (c ReuseClass) Valid() bool { return c >= 0 && int(c) < numClasses }
+
 // classBounds are the exclusive upper bounds of the reuse distances of the
 // classes of remembered keys, in keys.
 var classBounds = [...]int{4, 8, 16, 32, 64, 128, maxKeysPerServer}
--- a/pkg/restcall/restcall.go
+++ b/pkg/restcall/restcall.go
@@ -33,7 +33,8 @@
 	StatusError func(*http.Response) error
 }
 
-// Call sends one request and decodes its answer into out, unless out is nil.
+// Call sends one request and decodes its answer into out, unless out is nil. If
+// out is a *[]byte, it receives the answer as it was sent.
 // sent is false if the request certainly was not sent, not even in part.
 func (c *JSONClient) Call(ctx context.Context, timeout time.Duration, method, path string, body []byte, out any) (sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -72,7 +73,11 @@
 	if int64(len(raw)) > c.MaxAnswer {
 		return errors.Errorf("the answer is larger than %d bytes", c.MaxAnswer)
 	}
-	if out == nil {
+	switch out := out.(type) {
+	case nil:
+		return nil
+	case *[]byte:
+		*out = raw
 		return nil
 	}
 	return errors.Annotate(json.Unmarshal(raw, out), "decode answer")
--- a/pkg/steer/apply.go
+++ b/pkg/steer/apply.go
@@ -31,14 +31,18 @@
 // applyServers updates the registry with the backend servers that the store
 // lists.
 func (h *Host) applyServers(list []fleet.Server) {
-	h.registryMu.Lock()
-	h.registry.Set(time.Now(), list)
-	knownServers, lapsed := h.registry.Counts()
-	h.registryMu.Unlock()
+	knownServers, lapsed := h.setServers(list)
 	h.log.serversListed(len(list), knownServers, lapsed)
 	h.updatePools()
 }
 
+func (h *Host) setServers(list []fleet.Server) (known, lapsed int) {
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
+	h.registry.Set(time.Now(), list)
+	return h.registry.Counts()
+}
+
 // applyEvacuated sets the evacuated failure domains, whose servers get no
 // requests.
 func (h *Host) applyEvacuated(domains []string) {
--- a/pkg/steer/beacons.go
+++ b/pkg/steer/beacons.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 )
@@ -129,16 +130,24 @@
 			return nil
 		}
 		var d datagram
-		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
+		if err := decodeDatagram(buf[:n], &d); err != nil {
+			h.metrics.malformedMessages.Inc()
 			h.log.warn(err, "malformed datagram ignored")
 			continue
 		}
 		if d.From != h.self.Name {
-			h.handleDatagram(addr, &d)
+			h.protect("datagram", func() { h.handleDatagram(addr, &d) })
 		}
 	}
 }
 
+func decodeDatagram(raw []byte, d *datagram) error {
+	if err := cbor.Unmarshal(raw, d); err != nil {
+		return errors.Trace(err)
+	}
+	return d.check()
+}
+
 // handleDatagram handles each part of a datagram that is present.
 func (h *Host) handleDatagram(addr netip.AddrPort, d *datagram) {
 	before, known := h.peers.get(d.From)
--- a/pkg/steer/helpers_test.go
+++ b/pkg/steer/helpers_test.go
@@ -105,17 +105,17 @@
 	return nil
 }
 
-func (s *memorySource) Hosts(context.Context) ([]fleet.EntryHost, error) {
+func (s *memorySource) Hosts(context.Context) ([]fleet.EntryHost, []feed.Unreadable, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down && s.hostsUnavailable {
-		return nil, io.ErrUnexpectedEOF
+		return nil, nil, io.ErrUnexpectedEOF
 	}
 	var out []fleet.EntryHost
 	for _, h := range s.hosts {
 		out = append(out, h)
 	}
-	return out, nil
+	return out, nil, nil
 }
 
 var testNames = Names{
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -94,6 +94,8 @@
 	// held is the number of requests that were read and not answered yet.
 	held  atomic.Int64
 	guard *overload.Guard
+	// unreadable holds the store's entries that this host could not decode.
+	unreadable unreadableEntries
 }
 
 // New returns a host that has not been started.
@@ -176,7 +178,8 @@
 	if err != nil {
 		return result.Wrap(err, result.ListenFailed, "%s", field)
 	}
-	srv := forward.NewServer(handler, forward.Limits{HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, KeepAlive: callerIdleTimeout})
+	srv := forward.NewServer(h.protectHandler(field, handler), forward.Limits{HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, KeepAlive: callerIdleTimeout})
+	srv.ErrorLog = h.libraryLogger()
 	h.httpServers = append(h.httpServers, srv)
 	if address == h.cfg().Listen.Caller {
 		h.callerListener, srv.ConnState = l, h.conns.track
@@ -200,7 +203,7 @@
 			case <-h.tomb.Dying():
 				return nil
 			case <-t.C:
-				fn(time.Now())
+				h.protect("timer", func() { fn(time.Now()) })
 			}
 		}
 	})
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"bytes"
+	"fmt"
 	"time"
 
 	"github.com/phuslu/log"
@@ -71,6 +73,22 @@
 	}
 }
 
+func (l *eventLog) panicked(task string, cause any, stack []byte) {
+	if l.allow() {
+		l.Error().Str("task", task).Str("cause", fmt.Sprint(cause)).Str("stack", string(stack[:min(len(stack), maxStackBytes)])).
+			Msg("unexpected error, only this task ended")
+	}
+}
+
+// maxStackBytes bounds the stack in a log line.
+const maxStackBytes = 4 << 10
+
+func (l *eventLog) library(line []byte) {
+	if l.allow() {
+		l.Warn().Str("line", string(bytes.TrimSpace(line[:min(len(line), maxErrorTextBytes)]))).Msg("message of a library")
+	}
+}
+
 func (l *eventLog) overload(overloaded bool, late time.Duration, held int64) {
 	if !l.allow() {
 		return
@@ -116,6 +134,25 @@
 	}
 }
 
+// maxErrorTextBytes bounds the text of an error that quotes what another program
+// wrote.
+const maxErrorTextBytes = 256
+
+func (l *eventLog) unreadable(kind string, e feed.Unreadable) {
+	if !l.allow() {
+		return
+	}
+	text := e.Err.Error()
+	l.Warn().Str("kind", kind).Str("name", e.Name[:min(len(e.Name), maxErrorTextBytes)]).Str("error", text[:min(len(text), maxErrorTextBytes)]).
+		Msg("entry in the store cannot be read and is ignored")
+}
+
+func (l *eventLog) readable(kind, name string) {
+	if l.allow() {
+		l.Info().Str("kind", kind).Str("name", name[:min(len(name), maxErrorTextBytes)]).Msg("entry in the store is readable again or gone")
+	}
+}
+
 func (l *eventLog) historyGone(kind feed.Kind) {
 	l.Info().Str("kind", kind.String()).Msg("the store no longer has the changes after the watched revision, listing all objects")
 }
--- a/pkg/steer/metrics.go
+++ b/pkg/steer/metrics.go
@@ -19,6 +19,11 @@
 	storeCalls         *prometheus.CounterVec
 	logDropped         prometheus.Counter
 	oversizedDatagrams prometheus.Counter
+	malformedMessages  prometheus.Counter
+	panics             *prometheus.CounterVec
+	unsolicitedAnswers prometheus.Counter
+	notices            *prometheus.CounterVec
+	unreadable         *prometheus.GaugeVec
 }
 
 // latencyBuckets are the upper bounds of the histograms' buckets in seconds.
@@ -49,6 +54,21 @@
 	m.oversizedDatagrams = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tamarackswitch_steer_oversized_datagrams_total", Help: "Datagrams to other hosts that exceed one packet.",
 	})
+	m.malformedMessages = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_malformed_messages_total", Help: "Messages of other hosts that could not be decoded or had a value outside its range.",
+	})
+	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_panics_total", Help: "Unexpected errors that ended the handling of one request, message or timer event, by task.",
+	}, []string{"task"})
+	m.unsolicitedAnswers = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_unsolicited_answers_total", Help: "Answers that backend servers sent on idle connections.",
+	})
+	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_server_notices_total", Help: "Answers in which a backend server said that it leaves, or that it wants no requests from this host for a time.",
+	}, []string{"notice"})
+	m.unreadable = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "tamarackswitch_steer_unreadable_entries", Help: "Entries of the store that this host reads and cannot decode, by kind.",
+	}, []string{"kind"})
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tamarackswitch_steer_held_requests", Help: "Requests that were read and not answered.",
 	}, func() float64 { return float64(h.held.Load()) })
@@ -63,7 +83,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, held, late, version)
+	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.notices, m.unreadable, held, late, version)
 	h.log.dropped = m.logDropped
 	return m
 }
--- a/pkg/steer/names.go
+++ b/pkg/steer/names.go
@@ -49,6 +49,7 @@
 	Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Changes, error)
 	// Register publishes this host in the store.
 	Register(ctx context.Context, h fleet.EntryHost) error
-	// Hosts returns the published entry hosts. The list may be seconds old.
-	Hosts(ctx context.Context) ([]fleet.EntryHost, error)
+	// Hosts returns the published entry hosts, and the entries among them that could
+	// not be read. The list may be seconds old.
+	Hosts(ctx context.Context) ([]fleet.EntryHost, []feed.Unreadable, error)
 }
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -58,7 +58,7 @@
 		host: h, name: name, dispatcher: placing.NewDispatcher(placingPool), onPlaced: map[placing.Ref]func(placing.Placement){}, inFlight: map[uint64]inFlightSend{},
 	}
 	b := h.cfg().Bounds
-	p.retryBudget = retry.NewShare(b.RetryRatio, float64(b.RetryExtra))
+	p.retryBudget = retry.NewShare(b.RetryRatio, b.RetryExtra)
 	// Only the pool's dispatcher in a region sends to the region's cold servers (those
 	// with cold caches), so that the rate limit of a cold server bounds the sum over
 	// all hosts.
@@ -120,7 +120,9 @@
 
 // pollQueue offers free slots to the queued requests, and sets its timer again
 // while there are any.
-func (p *pool) pollQueue() {
+func (p *pool) pollQueue() { p.host.protect("queue", p.wakeQueue) }
+
+func (p *pool) wakeQueue() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.deliver(p.dispatcher.Wake(time.Now()))
--- a/pkg/steer/publish.go
+++ b/pkg/steer/publish.go
@@ -41,8 +41,11 @@
 func (h *Host) readHosts() error {
 	ctx := h.tomb.Context(context.Background())
 	for interval := minHostsInterval; ctx.Err() == nil; interval = min(2*interval, maxHostsInterval) {
-		hosts, err := h.source.Hosts(ctx)
-		if err != nil && ctx.Err() == nil {
+		hosts, unreadable, err := h.source.Hosts(ctx)
+		switch {
+		case err == nil:
+			h.recordUnreadable(publishedHosts, true, nil, unreadable)
+		case ctx.Err() == nil:
 			h.log.warn(err, "could not read the published hosts")
 		}
 		for _, host := range hosts {
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -139,7 +139,7 @@
 	}
 	x.need = placing.Need{
 		Key: key, Route: x.route.Name, Idempotent: x.route.Idempotent, Target: x.route.TargetLatency,
-		Priority: x.route.Priority, Regions: x.route.HomeRegions,
+		Priority: x.route.Priority, Regions: x.route.HomeRegions, Host: h.self.Name,
 	}
 	return nil
 }
--- a/pkg/steer/settings.go
+++ b/pkg/steer/settings.go
@@ -89,8 +89,8 @@
 	// entry hosts.
 	RetryRatio float64 `toml:"retry_ratio"`
 	// RetryExtra is the number of retries that are allowed per RetryWindow in
-	// addition to RetryRatio, over all entry hosts.
-	RetryExtra  int            `toml:"retry_extra"`
+	// addition to RetryRatio, over all entry hosts. It may be a fraction.
+	RetryExtra  float64        `toml:"retry_extra"`
 	RetryWindow units.Duration `toml:"retry_window"`
 }
 
@@ -185,16 +185,16 @@
 		return invalid("bounds.grace", "must be at least %s, with a unit", minDuration)
 	case b.LookupLife < minDuration:
 		return invalid("bounds.lookup_life", "must be at least %s, with a unit", minDuration)
-	case b.RetryRatio < 0 || b.RetryRatio > 1:
+	case !(b.RetryRatio >= 0 && b.RetryRatio <= 1): // also true for NaN
 		return invalid("bounds.retry_ratio", "%v is not between 0 and 1", b.RetryRatio)
-	case b.RetryExtra < 0:
-		return invalid("bounds.retry_extra", "must not be negative")
+	case !(b.RetryExtra >= 0 && b.RetryExtra <= maxRetryExtra):
+		return invalid("bounds.retry_extra", "%v is not between 0 and %v", b.RetryExtra, maxRetryExtra)
 	case b.RetryWindow < minDuration:
 		return invalid("bounds.retry_window", "must be at least %s, with a unit", minDuration)
-	case s.Limits.CPUShare <= 0 || s.Limits.CPUShare > 1:
+	case !(s.Limits.CPUShare > 0 && s.Limits.CPUShare <= 1):
 		return invalid("limits.cpu_share", "%v must be above 0 and at most 1", s.Limits.CPUShare)
-	case s.Limits.Cores <= 0:
-		return invalid("limits.cores", "must be positive")
+	case !(s.Limits.Cores > 0 && s.Limits.Cores <= maxCores):
+		return invalid("limits.cores", "%v must be above 0 and at most %v", s.Limits.Cores, maxCores)
 	case s.Limits.Lateness < minDuration:
 		return invalid("limits.lateness", "must be at least %s, with a unit", minDuration)
 	case !slices.Contains(logLevels, s.Log.Level):
@@ -209,6 +209,12 @@
 // above numbers that lack a unit, which are decoded as nanoseconds.
 const minDuration = units.Duration(time.Millisecond)
 
+// Upper bounds that only mistyped settings exceed.
+const (
+	maxRetryExtra = 1e9 // retries per window
+	maxCores      = 4096
+)
+
 var logLevels = []string{"debug", "info", "warn", "error"}
 
 // Region returns the region of this host's failure domain.
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -139,22 +139,31 @@
 	}
 }
 
+// errPanicked means that the handling of an answer of the store or of a peer panicked.
+const errPanicked = errors.ConstError("the answer could not be handled")
+
 // watchStore watches one kind of objects at the store until ctx ends. After an
 // error, or if the store no longer has the history, it lists all objects again to
 // get the changes that it missed. Failed calls are repeated with exponential
 // backoff and jitter.
 func (h *Host) watchStore(ctx context.Context, kind feed.Kind) {
+	defer h.forgetUnreadable(kind.String())
 	backoff := h.feeds.currentRole().InitialBackoff(false)
 	listNext := h.feeds.revision(kind) == 0
 	for ctx.Err() == nil {
 		completeAt := time.Now()
 		var changes feed.Changes
 		var err error
-		if listNext {
-			changes, err = h.source.List(ctx, kind)
-		} else {
-			changes, err = h.source.Watch(ctx, kind, h.feeds.revision(kind), feed.WatchWait)
-			completeAt = time.Now() // the store had no newer changes when it answered
+		read := func() {
+			if listNext {
+				changes, err = h.source.List(ctx, kind)
+			} else {
+				changes, err = h.source.Watch(ctx, kind, h.feeds.revision(kind), feed.WatchWait)
+				completeAt = time.Now() // the store had no newer changes when it answered
+			}
+		}
+		if !h.protect("store", read) {
+			err = errPanicked
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -174,7 +183,8 @@
 		}
 		backoff, listNext = h.feeds.currentRole().InitialBackoff(true), false
 		h.storeAnswered(kind)
-		h.applyChanges(kind, changes, completeAt)
+		h.recordUnreadable(kind.String(), changes.Complete, changes.Items, changes.Unreadable)
+		h.protect("store", func() { h.applyChanges(kind, changes, completeAt) })
 		if len(changes.Items) > 0 && !wait.For(ctx, watchPause) {
 			return
 		}
@@ -186,32 +196,39 @@
 // followers fetch the changes. completeAt is the last time at which the store is
 // known to have had no newer changes.
 func (h *Host) applyChanges(kind feed.Kind, c feed.Changes, completeAt time.Time) {
-	f := h.feeds
-	f.mu.Lock()
-	replica := f.replicas[kind]
 	for i := range c.Items {
 		if s := c.Items[i].Server; s != nil && s.ColdFor > 0 {
 			s.ColdUntil = time.Now().Add(s.ColdFor)
 		}
 	}
-	changed := replica.Apply(c)
-	replica.Confirm(completeAt)
+	items, changed, watching := h.feeds.apply(kind, c, completeAt)
 	if !changed {
-		f.mu.Unlock()
 		return
 	}
-	items := make([]feed.Item, 0, len(replica.Items()))
-	for _, item := range replica.Items() {
-		items = append(items, item)
-	}
-	watching := f.role.Watch
-	f.mu.Unlock()
 	h.applyItems(kind, items)
 	if watching {
 		h.sendBeaconsNow()
 	}
 }
 
+// apply applies changes to the replica of a kind. If an item changed, it returns
+// all items. watching reports whether this host watches the store.
+func (f *storeFeeds) apply(kind feed.Kind, c feed.Changes, completeAt time.Time) (items []feed.Item, changed, watching bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	replica := f.replicas[kind]
+	changed = replica.Apply(c)
+	replica.Confirm(completeAt)
+	if !changed {
+		return nil, false, false
+	}
+	items = make([]feed.Item, 0, len(replica.Items()))
+	for _, item := range replica.Items() {
+		items = append(items, item)
+	}
+	return items, true, f.role.Watch
+}
+
 // applyItems puts all items of a kind in force.
 func (h *Host) applyItems(kind feed.Kind, items []feed.Item) {
 	switch kind {
@@ -351,7 +368,10 @@
 		query.Set(kind.String(), strconv.FormatInt(f.replicas[kind].Revision(), 10))
 	}
 	h.tomb.Go(func() error {
-		err := h.fetchChanges(p.host.ControlAddress, query)
+		var err error
+		if !h.protect("peer", func() { err = h.fetchChanges(p.host.ControlAddress, query) }) {
+			err = errPanicked
+		}
 		f.mu.Lock()
 		f.fetching = false
 		f.mu.Unlock()
@@ -392,8 +412,9 @@
 		return errors.Errorf("peer responded with status %d", resp.StatusCode)
 	}
 	var answer feedAnswer
-	if err := cbor.Unmarshal(raw.Bytes(), &answer); err != nil {
-		return errors.Trace(err)
+	if err := decodeFeedAnswer(raw.Bytes(), &answer); err != nil {
+		h.metrics.malformedMessages.Inc()
+		return err
 	}
 	now := time.Now()
 	completeAt := now.Add(-time.Duration(answer.AgeMS) * time.Millisecond)
@@ -413,6 +434,13 @@
 	return nil
 }
 
+func decodeFeedAnswer(raw []byte, a *feedAnswer) error {
+	if err := cbor.Unmarshal(raw, a); err != nil {
+		return errors.Trace(err)
+	}
+	return a.check()
+}
+
 // storeAnswered logs and counts a successful call to the store.
 func (h *Host) storeAnswered(kind feed.Kind) {
 	h.log.storeAnswered(kind.String())
