Hold requests back from servers that leave or ask for a pause

Cause: an answer with Server-Leaving said nothing to the host, which went on sending while the store listed the server as ready, and Retry-After of a server was read in whole seconds and held nothing back.

Change: placing keeps what servers say of themselves, per process of the server and over the removal of its entry: leaving for all hosts, a pause for the host that got the 503. Completions carry it to the dispatcher, reports to the other regions, and a host returns a grant that its own notices forbid. Retry-After may have a fraction and is bounded by 10 minutes; it is no longer passed on to the caller, whose next try goes to another server.

Ruled out: a pause for all hosts. The server speaks of one host, and its slots would stay empty. A mark that lives with the entry: it is lost when the entry lapses in an outage of the store and the server that left comes back with it.

--- a/pkg/core/placing/dispatcher.go
+++ b/pkg/core/placing/dispatcher.go
@@ -49,6 +49,8 @@
 	// LoadReported is set if the server reported its running and waiting requests.
 	LoadReported     bool
 	Running, Waiting int
+	// Notice is what the server said of itself in the answer.
+	Notice ServerNotice
 }
 
 // Dispatcher places the requests of several entry hosts on the servers of a
@@ -219,9 +221,10 @@
 	return d.Wake(now)
 }
 
-// RecordCompletion records the end of a request after it was Started, and the load that
-// the server reported with it.
+// RecordCompletion records the end of a request after it was Started, and what the
+// server reported with it: its load, and its notice to need.Host.
 func (d *Dispatcher) RecordCompletion(now time.Time, c Choice, need Need, e Completion) {
+	d.RecordNotice(now, c.Server, need.Host, e.Notice)
 	if e.LoadReported {
 		d.Reported(now, c.Server.ID, e.Running, e.Waiting)
 	}
--- a/pkg/core/placing/pick.go
+++ b/pkg/core/placing/pick.go
@@ -184,7 +184,7 @@
 // usable reports whether the request may be sent to the server now.
 func (p *Pool) usable(now time.Time, s *server, n Need) bool {
 	switch {
-	case s.Draining || p.Evacuated(s.Domain) || now.Before(s.backoffUntil) || s.halfOpen && s.running > 0:
+	case s.leaves() || s.notices.paused(now, n.Host) || p.Evacuated(s.Domain) || now.Before(s.backoffUntil) || s.halfOpen && s.running > 0:
 		return false
 	case s.isCold(now) && (!p.OwnsCold(s.Server) || !s.coldBucket.ready(now, p.coldRate)):
 		return false
@@ -225,7 +225,7 @@
 	var preferred *server
 	var maxWeight uint64
 	for _, s := range p.regionServers(local) {
-		if s.Draining {
+		if s.leaves() {
 			continue
 		}
 		if w := s.weight(n.Key); preferred == nil || w > maxWeight {
--- a/pkg/core/placing/placing.go
+++ b/pkg/core/placing/placing.go
@@ -174,12 +174,14 @@
 	Hosts func() int
 	// waiting is the number of requests that wait for a slot.
 	waiting int
+	// notices holds what servers said of themselves, by ID.
+	notices map[string]*notices
 }
 
 // New returns a pool without servers for a host in region.
 func New(region string) *Pool {
 	return &Pool{
-		region: region, servers: map[string]*server{}, classEstimates: map[string]*[numClasses]estimate{}, routeEstimates: map[string]*estimate{}, preferences: map[preferenceKey]*server{}, peerRequests: map[string]map[string]int{}, regions: map[string]regionReport{},
+		region: region, servers: map[string]*server{}, classEstimates: map[string]*[numClasses]estimate{}, routeEstimates: map[string]*estimate{}, preferences: map[preferenceKey]*server{}, peerRequests: map[string]map[string]int{}, regions: map[string]regionReport{}, notices: map[string]*notices{},
 		OwnsCold: func(fleet.Server) bool { return true }, Evacuated: func(string) bool { return false },
 		Hosts: func() int { return 1 },
 	}
@@ -204,7 +206,9 @@
 			p.servers[f.ID] = s
 		}
 		s.Server, s.region, s.removed = f, regionOf(f.Domain), false
+		s.notices = p.noticesOf(now, f)
 	}
+	p.forgetNotices(now)
 	clear(p.preferences) // they depend on the set of servers
 	p.sortedServers = p.sortedServers[:0]
 	for id, s := range p.servers {
@@ -263,10 +267,10 @@
 	}
 }
 
-// Server returns the server with that ID if it accepts requests.
-func (p *Pool) Server(now time.Time, id string) (fleet.Server, bool) {
+// Server returns the server with that ID if it accepts requests from host.
+func (p *Pool) Server(now time.Time, id, host string) (fleet.Server, bool) {
 	s := p.servers[id]
-	if s == nil || s.removed || s.Draining || p.Evacuated(s.Domain) || now.Before(s.backoffUntil) {
+	if s == nil || s.removed || s.leaves() || s.notices.paused(now, host) || p.Evacuated(s.Domain) || now.Before(s.backoffUntil) {
 		return fleet.Server{}, false
 	}
 	return s.Server, true
--- a/pkg/core/placing/placing_test.go
+++ b/pkg/core/placing/placing_test.go
@@ -61,6 +61,25 @@
 	require.False(t, ok, "an evacuated server accepts no requests")
 }
 
+// Guards against using an entry of another writer that names an unknown failure
+// domain: it would count as a region of its own.
+func TestUnknownDomain(t *testing.T) {
+	p, list := newPool(1)
+	odd := list[0]
+	odd.ID, odd.Domain = "odd", "nowhere"
+	p.Update(start, append(list, odd), 4, func(domain string) string {
+		if domain == "nowhere" {
+			return ""
+		}
+		return domainRegion(domain)
+	})
+	_, ok := p.Server(start, "odd", "h")
+	require.False(t, ok)
+	_, allSlots, regions := p.capacity()
+	require.Equal(t, 8, allSlots)
+	require.Equal(t, 2, regions)
+}
+
 // Guards against sending requests to a server that cannot be reached, and
 // against excluding it for good.
 func TestUnreachableServerRests(t *testing.T) {
--- a/pkg/core/placing/regions.go
+++ b/pkg/core/placing/regions.go
@@ -14,6 +14,9 @@
 	// and Slots the number of its usable slots.
 	Pressure float64 `cbor:"3,keyasint"`
 	Slots    int     `cbor:"4,keyasint"`
+	// Leaving holds the servers of all regions that said recently that they leave:
+	// their start times in Unix milliseconds, by server ID.
+	Leaving map[string]int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // LocalServerCount returns the number of servers of the own region.
@@ -29,7 +32,7 @@
 
 // Report returns the report of the own region to the others.
 func (p *Pool) Report(now time.Time) Report {
-	out := Report{Loads: map[string]int{}, Sent: map[string]int{}}
+	out := Report{Loads: map[string]int{}, Sent: map[string]int{}, Leaving: p.leavingServers(now)}
 	for _, s := range p.sortedServers {
 		if s.region == p.region {
 			out.Loads[s.ID] = int(s.load(now) + 0.5)
@@ -59,6 +62,7 @@
 			}
 		}
 	}
+	p.recordLeaving(now, r.Leaving)
 	p.regions[region] = regionReport{pressure: r.Pressure, slots: r.Slots, receivedAt: now}
 }
 
--- a/pkg/core/placing/server.go
+++ b/pkg/core/placing/server.go
@@ -65,8 +65,13 @@
 	halfOpen     bool        // one request at a time tries the server after a backoff
 	coldBucket   tokenBucket // limits the rate while the server is cold
 	keys         recentKeys  // sent by this host
+	notices      *notices    // nil if the server said nothing of itself
 }
 
+// leaves reports whether the server takes no new requests, by its entry or by what
+// it said of itself.
+func (s *server) leaves() bool { return s.Draining || s.notices.left() }
+
 // load estimates the number of requests at the server. It is the largest of
 // three values: the requests in progress that the hosts know of, the load that
 // the server's region reported plus the requests that this host sent since,
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	stderrors "errors"
 	"io"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"time"
 
@@ -49,6 +51,9 @@
 		a.abandon()
 		return nil, err
 	}
+	if x.req.Notice != nil {
+		*x.req.Notice = x.f.cfg.Headers.notice(resp)
+	}
 	if !x.relay && x.f.cfg.Headers.reportsNotRun(resp) {
 		code := result.ServerShed
 		if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -90,14 +95,42 @@
 	return nil
 }
 
-// retryAfter returns the delay that the Retry-After header gives in seconds, or
-// 0 if it gives none.
+// maxRetryAfter bounds the delay that a Retry-After header can ask for. A server
+// that wants more is asked again after this time.
+const maxRetryAfter = 10 * time.Minute
+
+// retryAfter returns the delay that the Retry-After header gives in seconds, which
+// may have a fraction, or 0 if it gives none.
 func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || s < 0 {
+	s, err := strconv.ParseFloat(textproto.TrimString(h.Get("Retry-After")), 64)
+	switch {
+	case err != nil && !stderrors.Is(err, strconv.ErrRange), !(s > 0): // also NaN
 		return 0
+	case s > maxRetryAfter.Seconds():
+		return maxRetryAfter
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// Notice is what a server said of itself in the head of an answer.
+type Notice struct {
+	// Leaving means that the server is about to end and takes no new requests.
+	Leaving bool
+	// Pause is how long the server wants no requests from this host.
+	Pause time.Duration
+}
+
+// notice returns what the server said of itself. An answer with status 421 comes
+// from another server than the expected one and says nothing of that.
+func (n Headers) notice(resp *http.Response) (out Notice) {
+	if n.ExpectServer != "" && resp.StatusCode == http.StatusMisdirectedRequest {
+		return out
+	}
+	out.Leaving = n.Leaving != "" && textproto.TrimString(resp.Header.Get(n.Leaving)) == n.LeavingValue
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		out.Pause = retryAfter(resp.Header)
 	}
-	return time.Duration(s) * time.Second
+	return out
 }
 
 // bufferShortBody reads the body into memory if its announced length fits the
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -155,6 +155,9 @@
 	// false, the grant under which the request may be sent has expired, and
 	// nothing is written. Nil counts as true.
 	Valid func() bool
+	// Notice, if set, receives what the server said of itself in the answer to
+	// this request, also if Do returns an error.
+	Notice *Notice
 }
 
 // pool returns the connection pool of the server at addr and creates it if
--- a/pkg/forward/header.go
+++ b/pkg/forward/header.go
@@ -39,6 +39,9 @@
 	// ExpectServer, if set, names the header with the id of the only server
 	// that may run the request; any other server answers 421.
 	ExpectServer string
+	// Leaving, if set, names the header that a server sends with the value
+	// LeavingValue once it is about to end.
+	Leaving, LeavingValue string
 	// Forwarded enables adding the caller's address to the headers
 	// X-Forwarded-For and Forwarded.
 	Forwarded bool
--- a/pkg/steer/dispatch.go
+++ b/pkg/steer/dispatch.go
@@ -176,6 +176,7 @@
 	h.sendCompletion(reserved.granter, completion{
 		ID: reserved.id, Pool: p.name, Outcome: c.Outcome, TookUS: uint32(min(c.Took.Microseconds(), 1<<31)),
 		LoadReported: c.LoadReported, Running: c.Running, Waiting: c.Waiting,
+		Leaving: c.Notice.Leaving, PauseMS: uint32(c.Notice.Pause.Milliseconds()),
 	})
 }
 
@@ -258,7 +259,11 @@
 	}
 	s, ok := p.server(reply.Server)
 	if !ok {
-		h.sendCompletion(reserved.granter, completion{ID: reserved.id, Pool: p.name, Outcome: placing.Abandoned})
+		// The dispatcher may not know what the server said to this host.
+		said := p.notice(reply.Server)
+		h.sendCompletion(reserved.granter, completion{
+			ID: reserved.id, Pool: p.name, Outcome: placing.Abandoned, Leaving: said.Leaving, PauseMS: uint32(said.Pause.Milliseconds()),
+		})
 		return false, nil
 	}
 	reserved.choice.Server = s
@@ -363,7 +368,7 @@
 		if send, ok := p.inFlight[reply.ID]; ok && send.granter == from {
 			inUse = true
 		}
-		if _, ok := p.dispatcher.Server(time.Now(), reply.Server); ok {
+		if _, ok := p.dispatcher.Server(time.Now(), reply.Server, ""); ok {
 			poolName = p.name
 		}
 	})
@@ -380,6 +385,7 @@
 		if p := h.pool(c.Pool); p != nil {
 			p.endRequest(now, placing.Ref{Host: from, ID: c.ID}, placing.Completion{
 				Outcome: c.Outcome, Took: time.Duration(c.TookUS) * time.Microsecond, LoadReported: c.LoadReported, Running: c.Running, Waiting: c.Waiting,
+				Notice: placing.ServerNotice{Leaving: c.Leaving, Pause: time.Duration(c.PauseMS) * time.Millisecond},
 			})
 		}
 	}
--- a/pkg/steer/helpers_test.go
+++ b/pkg/steer/helpers_test.go
@@ -124,7 +124,7 @@
 	LookupAnswer: func(addresses []string, life time.Duration) any {
 		return map[string]any{"hosts": addresses, "life": life.Seconds()}
 	},
-	Headers:     forward.Headers{RequestID: "Req-Id", Deadline: "Left-Ms", NotRun: "Not-Run", ExpectServer: "Expect-Server"},
+	Headers:     forward.Headers{RequestID: "Req-Id", Deadline: "Left-Ms", NotRun: "Not-Run", ExpectServer: "Expect-Server", Leaving: "Leaving", LeavingValue: "1"},
 	ServerLoad:  "Load",
 	AffinityKey: func(r *http.Request) string { return r.Header.Get("Key") },
 }
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -218,6 +218,19 @@
 	withServer(e, x).Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error()).Msg("send failed")
 }
 
+func (l *eventLog) serverLeaving(x *exchange) {
+	c := x.reservation.choice
+	l.Info().Str("id", x.requestID).Str("pool", x.pool.name).Str("server", c.Server.ID).Int64("started", c.Server.StartedMS).
+		Msg("backend server said that it leaves, it gets no new requests")
+}
+
+func (l *eventLog) serverPause(x *exchange, pause time.Duration) {
+	if l.allow() {
+		l.Info().Str("id", x.requestID).Str("pool", x.pool.name).Str("server", x.reservation.choice.Server.ID).Int64("pause_ms", pause.Milliseconds()).
+			Msg("backend server wants no requests from this host for a time")
+	}
+}
+
 // withServer adds the server of the request's last attempt, and what was known
 // about it when it was chosen.
 func withServer(e *log.Entry, x *exchange) *log.Entry {
--- a/pkg/steer/messages.go
+++ b/pkg/steer/messages.go
@@ -121,6 +121,10 @@
 	LoadReported bool `cbor:"5,keyasint,omitempty"`
 	Running      int  `cbor:"6,keyasint,omitempty"`
 	Waiting      int  `cbor:"7,keyasint,omitempty"`
+	// Leaving is set if the server said that it leaves. PauseMS is how long it wants
+	// no requests from the sender, in milliseconds.
+	Leaving bool   `cbor:"8,keyasint,omitempty"`
+	PauseMS uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // report is the load report about a pool that its dispatcher sends to the other
--- a/pkg/steer/odd_messages_test.go
+++ b/pkg/steer/odd_messages_test.go
@@ -71,8 +71,8 @@
 		{From: "x", StartedMS: 1, Beacon: &beacon{Ready: true, Loads: map[string]int{"s1": 2}}},
 		{From: "x", SlotRequest: &slotRequest{ID: 1, Pool: "p", Route: "safe", Key: "k", TargetMS: 100, RemainingMS: 500}},
 		{From: "x", SlotReply: &slotReply{ID: 1, Server: "s1"}},
-		{From: "x", Completions: []completion{{ID: 1, Pool: "p"}}},
-		{From: "x", Report: []report{{Pool: "p", Region: "b", Report: placing.Report{Slots: 4}}}},
+		{From: "x", Completions: []completion{{ID: 1, Pool: "p", Leaving: true, PauseMS: 5}}},
+		{From: "x", Report: []report{{Pool: "p", Region: "b", Report: placing.Report{Leaving: map[string]int64{"s1": 1}}}}},
 		{From: "x", Digest: []sighting{{ID: 1, AgeMS: 5}}},
 	} {
 		raw, err := cbor.Marshal(&d)
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -217,7 +217,15 @@
 func (p *pool) server(id string) (fleet.Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.dispatcher.Server(time.Now(), id)
+	return p.dispatcher.Server(time.Now(), id, p.host.self.Name)
+}
+
+// notice returns what the server with the given id said of itself to this host, as
+// far as it still holds.
+func (p *pool) notice(id string) placing.ServerNotice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dispatcher.Notice(time.Now(), id, p.host.self.Name)
 }
 
 // rejection returns the error for a choice whose verdict is not Send, or nil.
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -215,12 +215,17 @@
 func (h *Host) attempt(x *exchange) (*forward.Answer, *result.Error) {
 	x.attempts++
 	sent := time.Now()
+	var notice forward.Notice
 	answer, err := h.forward.Do(x.callerRequest.Context(), forward.Request{
 		In: x.callerRequest, Server: x.reservation.choice.Server.Address, Once: !x.route.Idempotent, Idempotent: x.route.Idempotent,
 		RequestID: x.requestID, ExpectServer: x.reservation.choice.Server.ID, DeadlineAt: x.deadline, AnswerSlack: deadlineAnswerSlack, Body: x.body,
+		Notice: &notice,
 	})
 	took := time.Since(sent)
-	h.release(x.pool, x.reservation, x.need, h.completionOf(answer, err, took))
+	completion := h.completionOf(answer, err, took)
+	completion.Notice = placing.ServerNotice(notice)
+	h.recordNotice(x, completion.Notice)
+	h.release(x.pool, x.reservation, x.need, completion)
 	h.metrics.sends.WithLabelValues(x.route.Name, codeName(err)).Inc()
 	if err != nil {
 		h.log.attempt(x, took, err)
@@ -229,6 +234,20 @@
 	return answer, nil
 }
 
+// recordNotice logs and counts what a server said of itself, if that is news. The
+// pool learns it with the completion.
+func (h *Host) recordNotice(x *exchange, said placing.ServerNotice) {
+	s := x.reservation.choice.Server
+	if known := x.pool.notice(s.ID); said.Leaving && !known.Leaving {
+		h.metrics.notices.WithLabelValues("leaving").Inc()
+		h.log.serverLeaving(x)
+	}
+	if said.Pause > 0 {
+		h.metrics.notices.WithLabelValues("pause").Inc()
+		h.log.serverPause(x, said.Pause)
+	}
+}
+
 // completionOf describes how an attempt ended, with the load that the server
 // reported in its answer.
 func (h *Host) completionOf(a *forward.Answer, err *result.Error, took time.Duration) placing.Completion {
@@ -308,7 +327,9 @@
 	if x.mayHaveRun && err.Run == result.NotRun {
 		err = err.WithRun(result.Unknown)
 	}
-	if err.Run == result.NotRun && err.RetryAfter == 0 {
+	// The time that a server asks for concerns that server alone; another one may
+	// serve the request sooner.
+	if err.Run == result.NotRun && (err.RetryAfter == 0 || err.Code == result.ServerShed) {
 		err = err.WithRetryAfter(retryAfter(x.route.TargetLatency))
 	}
 	return err
