Place by how long work takes at a server at the moment

Load: servers that share machines run work two and a half times as long for about 600 ms, 15% of the time, and say so in the fourth figure of the load header.

A missing, odd or absurd figure counts as none.

--- a/pkg/core/placing/dispatcher.go
+++ b/pkg/core/placing/dispatcher.go
@@ -49,6 +49,9 @@
 	// LoadReported is set if the server reported its running and waiting requests.
 	LoadReported     bool
 	Running, Waiting int
+	// WorkPercent is how long work took at the server at that moment, in percent of
+	// its usual time, 0 if the server did not say.
+	WorkPercent int
 	// Notice is what the server said of itself in the answer.
 	Notice ServerNotice
 }
@@ -228,6 +231,9 @@
 	if e.LoadReported {
 		d.Reported(now, c.Server.ID, e.Running, e.Waiting)
 	}
+	if e.WorkPercent > 0 {
+		d.reportedWork(now, c.Server.ID, e.WorkPercent)
+	}
 	d.Finished(now, c, need, e.Outcome, e.Took)
 }
 
--- a/pkg/core/placing/estimates.go
+++ b/pkg/core/placing/estimates.go
@@ -112,6 +112,10 @@
 	if s.isCold(now) || c.Load >= float64(s.Slots) || s.reportedQueue {
 		return
 	}
+	// An episode in which work takes longer says nothing about the usual speed.
+	if s.currentWorkFactor(now) > maxUsualWorkFactor {
+		return
+	}
 	byClass := p.classEstimates[n.Route]
 	if byClass == nil {
 		byClass = new([numClasses]estimate)
@@ -147,3 +151,11 @@
 		p.remoteLoadRatio += smoothing * (float64(s.reportedLoad)/float64(s.Slots) - p.remoteLoadRatio)
 	}
 }
+
+// reportedWork records how long work takes at a server, in percent of its usual
+// time.
+func (p *Pool) reportedWork(now time.Time, id string, percent int) {
+	if s := p.servers[id]; s != nil {
+		s.workFactor, s.workFactorAt = min(max(float64(percent)/100, minWorkFactor), maxWorkFactor), now
+	}
+}
--- a/pkg/core/placing/load_test.go
+++ b/pkg/core/placing/load_test.go
@@ -1,7 +1,10 @@
 package placing
 
 import (
+	"fmt"
 	"math"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,6 +56,59 @@
 	return c
 }
 
+// slowEpisodes reads the recorded episodes in which servers were slow.
+func slowEpisodes(t *testing.T) (out [][]slowEpisode) {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/work_episodes.txt")
+	require.NoError(t, err)
+	for line := range strings.Lines(string(raw)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		var list []slowEpisode
+		for field := range strings.FieldsSeq(line) {
+			var from, to, percent int
+			_, err := fmt.Sscanf(field, "%d-%d:%d", &from, &to, &percent)
+			require.NoError(t, err)
+			list = append(list, slowEpisode{time.Duration(from) * time.Millisecond, time.Duration(to) * time.Millisecond, percent})
+		}
+		out = append(out, list)
+	}
+	return out
+}
+
+// sharedMachinesLoad is the load of a pool whose servers share their machines with
+// others: at times their work takes two and a half times as long for some hundred
+// milliseconds. The episodes are recorded ones.
+func sharedMachinesLoad(t *testing.T, policy string, seed uint64, reportWork bool) simConfig {
+	return simConfig{
+		seed: seed, policy: policy, slots: 9, cacheSize: 71, cachedShare: 0.3, duration: 45 * time.Second,
+		regions:  []simRegion{{6, wave(0.4)}, {8, wave(0.73)}, {2, wave(0.1)}},
+		routes:   []simRoute{{"look-up", 160, 410 * time.Millisecond, 400 * time.Millisecond, 2500 * time.Millisecond, 2, 182}},
+		episodes: slowEpisodes(t), reportWork: reportWork,
+	}
+}
+
+// Guards against sending requests to servers that just said that work takes long
+// there, while others would answer sooner.
+func TestSlowEpisodesAreAvoided(t *testing.T) {
+	const runs = 5
+	var with, without float64
+	for seed := range uint64(runs) {
+		reported := newSimulation(sharedMachinesLoad(t, "dispatch", seed, true)).run()["look-up"]
+		unreported := newSimulation(sharedMachinesLoad(t, "dispatch", seed, false)).run()["look-up"]
+		leastLoaded := newSimulation(sharedMachinesLoad(t, "least-loaded", seed, false)).run()["look-up"]
+		t.Logf("seed %d: reported: %v", seed, reported)
+		t.Logf("seed %d: not reported: %v", seed, unreported)
+		t.Logf("seed %d: least loaded: %v", seed, leastLoaded)
+		with += reported.onTargetShare() / runs
+		without += unreported.onTargetShare() / runs
+		require.Greater(t, reported.onTargetShare(), leastLoaded.onTargetShare())
+	}
+	t.Logf("in target: %.4f with the servers' reports, %.4f without", with, without)
+	require.Greater(t, with, without)
+}
+
 // Guards against placement that ignores which objects the servers have
 // cached: the same load, placed by load alone, needs more slots than there
 // are.
--- a/pkg/core/placing/pick.go
+++ b/pkg/core/placing/pick.go
@@ -106,13 +106,19 @@
 			c.class = assumedCached
 		}
 		c.nominal, c.learnedService = service[c.class], p.learned(n.Route, c.class)
-		c.service = c.nominal * s.slowdown
+		slowness := s.slowdown * s.currentWorkFactor(now)
+		c.service = c.nominal * slowness
 		// Slots become free at a rate of one per slot and mean service time;
 		// the request waits for those beyond the slots, including itself.
 		if over := c.load - float64(s.Slots) + 1; over > 0 {
-			c.wait = over / float64(s.Slots) * meanService * s.slowdown
+			c.wait = over / float64(s.Slots) * meanService * slowness
 		}
 		c.cost = c.wait + c.service + s.failureRatio(now)*failureCostShare*n.TimeLeft.Seconds()
+		if c.class == notCached && s.workFactor != 0 {
+			// A slow episode elsewhere is over before it pays to cache the object
+			// here too.
+			c.cost += c.nominal
+		}
 		if s != preferred {
 			c.cost += moveMargin * c.nominal
 		}
--- a/pkg/core/placing/server.go
+++ b/pkg/core/placing/server.go
@@ -51,9 +51,13 @@
 	regionLoad, runningAtRegionLoad int
 	regionLoadAt                    time.Time
 	// reportedLoad is the load that the server reported with its last answer.
-	reportedLoad     int
-	reportedAt       time.Time
-	reportedQueue    bool    // requests waited at the server when it reported
+	reportedLoad  int
+	reportedAt    time.Time
+	reportedQueue bool // requests waited at the server when it reported
+	// workFactor is how long work took at the server when it last said so, as a
+	// factor of its usual time.
+	workFactor       float64
+	workFactorAt     time.Time
 	slowdown         float64 // moving average of observed to expected service time
 	failureAverage   float64 // share of failed requests as of failureUpdatedAt
 	failureUpdatedAt time.Time
@@ -93,6 +97,26 @@
 	return requests
 }
 
+const (
+	// workFactorHalfLife is the time in which what a server said of the duration of
+	// its work loses half of its weight. Servers on shared machines are slow for
+	// some hundred milliseconds at a time.
+	workFactorHalfLife = 200 * time.Millisecond
+	// minWorkFactor and maxWorkFactor bound what a server can say.
+	minWorkFactor, maxWorkFactor = 0.25, 20.0
+	// maxUsualWorkFactor is the factor up to which service times are learned.
+	maxUsualWorkFactor = 1.2
+)
+
+// currentWorkFactor returns by which factor work at the server probably takes
+// longer than usual now.
+func (s *server) currentWorkFactor(now time.Time) float64 {
+	if s.workFactor == 0 {
+		return 1
+	}
+	return 1 + (s.workFactor-1)*math.Exp2(-float64(now.Sub(s.workFactorAt))/float64(workFactorHalfLife))
+}
+
 // failureRatio returns the recent share of failed requests.
 func (s *server) failureRatio(now time.Time) float64 {
 	if s.failureAverage == 0 {
--- a/pkg/core/placing/simulation_test.go
+++ b/pkg/core/placing/simulation_test.go
@@ -50,6 +50,50 @@
 	restartAt time.Duration
 	// policy is "dispatch", "least-loaded" or "round-robin".
 	policy string
+	// episodes are the times in which work takes longer at a server; the servers
+	// take the elements in turn. The servers report how long work takes at the
+	// moment if reportWork is set.
+	episodes   [][]slowEpisode
+	reportWork bool
+}
+
+// slowEpisode is a time in which work takes percent of its usual time.
+type slowEpisode struct {
+	from, to time.Duration // since the start
+	percent  int
+}
+
+// workPercent returns how long work takes at server i at the moment, in percent of
+// the usual time, and when that changes.
+func (sim *simulation) workPercent(i int, at time.Duration) (percent int, until time.Duration) {
+	until = math.MaxInt64
+	if len(sim.episodes) == 0 {
+		return 100, until
+	}
+	for _, e := range sim.episodes[i%len(sim.episodes)] {
+		switch {
+		case at < e.from:
+			return 100, e.from
+		case at < e.to:
+			return e.percent, e.to
+		}
+	}
+	return 100, until
+}
+
+// workTime returns how long work that usually takes usual takes at server i if it
+// begins now.
+func (sim *simulation) workTime(i int, usual time.Duration) time.Duration {
+	began := sim.now.Sub(sim.start)
+	for at, left := began, usual; ; {
+		percent, until := sim.workPercent(i, at)
+		needed := left * time.Duration(percent) / 100
+		if needed <= until-at {
+			return at + needed - began
+		}
+		left -= (until - at) * 100 / time.Duration(percent)
+		at = until
+	}
 }
 
 // simResult counts the outcomes of one route.
@@ -342,10 +386,15 @@
 	if len(s.cache) > sim.cacheSize {
 		s.cache = s.cache[1:]
 	}
+	i := slices.Index(sim.servers, s)
+	took = sim.workTime(i, took)
 	c.slotTime += took
 	sim.after(took, func() {
 		s.running--
 		e := Completion{Outcome: Answered, LoadReported: true, Running: s.running, Waiting: len(s.queue)}
+		if sim.reportWork {
+			e.WorkPercent, _ = sim.workPercent(i, sim.now.Sub(sim.start))
+		}
 		if len(s.queue) > 0 {
 			next := s.queue[0]
 			s.queue = s.queue[1:]
--- a/pkg/steer/dispatch.go
+++ b/pkg/steer/dispatch.go
@@ -176,7 +176,7 @@
 	h.sendCompletion(reserved.granter, completion{
 		ID: reserved.id, Pool: p.name, Outcome: c.Outcome, TookUS: uint32(min(c.Took.Microseconds(), 1<<31)),
 		LoadReported: c.LoadReported, Running: c.Running, Waiting: c.Waiting,
-		Leaving: c.Notice.Leaving, PauseMS: uint32(c.Notice.Pause.Milliseconds()),
+		WorkPercent: c.WorkPercent, Leaving: c.Notice.Leaving, PauseMS: uint32(c.Notice.Pause.Milliseconds()),
 	})
 }
 
@@ -385,7 +385,7 @@
 		if p := h.pool(c.Pool); p != nil {
 			p.endRequest(now, placing.Ref{Host: from, ID: c.ID}, placing.Completion{
 				Outcome: c.Outcome, Took: time.Duration(c.TookUS) * time.Microsecond, LoadReported: c.LoadReported, Running: c.Running, Waiting: c.Waiting,
-				Notice: placing.ServerNotice{Leaving: c.Leaving, Pause: time.Duration(c.PauseMS) * time.Millisecond},
+				WorkPercent: c.WorkPercent, Notice: placing.ServerNotice{Leaving: c.Leaving, Pause: time.Duration(c.PauseMS) * time.Millisecond},
 			})
 		}
 	}
--- a/pkg/steer/messages.go
+++ b/pkg/steer/messages.go
@@ -125,6 +125,9 @@
 	// no requests from the sender, in milliseconds.
 	Leaving bool   `cbor:"8,keyasint,omitempty"`
 	PauseMS uint32 `cbor:"9,keyasint,omitempty"`
+	// WorkPercent is how long work takes at the server, in percent of its usual
+	// time, 0 if it did not say.
+	WorkPercent int `cbor:"10,keyasint,omitempty"`
 }
 
 // report is the load report about a pool that its dispatcher sends to the other
--- a/pkg/steer/messages_check.go
+++ b/pkg/steer/messages_check.go
@@ -82,6 +82,8 @@
 		return errors.Errorf("completion with the unknown outcome %d", c.Outcome)
 	case c.Running < 0 || c.Running > maxCount || c.Waiting < 0 || c.Waiting > maxCount:
 		return errors.Errorf("completion with the load %d running, %d waiting", c.Running, c.Waiting)
+	case c.WorkPercent < 0 || c.WorkPercent > maxLoadFigure:
+		return errors.Errorf("completion with work at %d percent", c.WorkPercent)
 	}
 	return nil
 }
--- a/pkg/steer/names.go
+++ b/pkg/steer/names.go
@@ -28,7 +28,7 @@
 	// Headers are the header names of requests and answers.
 	Headers forward.Headers
 	// ServerLoad is the header in which backend servers report their running
-	// requests, waiting requests and slots.
+	// requests, waiting requests and slots, and how long work takes at the moment.
 	ServerLoad string
 	// AffinityKey returns the key of the object that a request is about, or "".
 	// Requests of a sticky route with the same key prefer the same server.
--- a/pkg/steer/notices_test.go
+++ b/pkg/steer/notices_test.go
@@ -89,3 +89,21 @@
 		require.Less(t, seconds, 2*time.Second)
 	}
 }
+
+// Guards against load headers that are lost because of a figure that is missing or
+// odd, and against odd figures that are believed.
+func TestParseLoad(t *testing.T) {
+	type load struct {
+		running, waiting, work int
+		ok                     bool
+	}
+	for text, want := range map[string]load{
+		"3,0,8": {3, 0, 0, true}, "3,0,8,250": {3, 0, 250, true}, " 3 , 1 , 8 , 100 ": {3, 1, 100, true}, "3,1": {3, 1, 0, true},
+		"3,0,8,": {3, 0, 0, true}, "3,0,8,x": {3, 0, 0, true}, "3,0,8,-5": {3, 0, 0, true}, "3,0,8,1e9": {3, 0, 0, true},
+		"3,0,8,99999999999999999999": {3, 0, 0, true}, "3,0,8,100,7": {3, 0, 100, true},
+		"": {}, "3": {}, "x,0,8": {}, "3,-1,8": {}, "-3,0,8": {}, "99999999,0,8": {},
+	} {
+		running, waiting, work, ok := parseLoad(text)
+		require.Equal(t, want, load{running, waiting, work, ok}, "%q", text)
+	}
+}
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -254,21 +254,36 @@
 	c := placing.Completion{Outcome: outcomeOf(a, err), Took: took}
 	if err == nil {
 		// A malformed load header counts as a missing one.
-		c.Running, c.Waiting, c.LoadReported = parseLoad(a.Header.Get(h.names.ServerLoad))
+		c.Running, c.Waiting, c.WorkPercent, c.LoadReported = parseLoad(a.Header.Get(h.names.ServerLoad))
 	}
 	return c
 }
 
-// parseLoad parses the load header, "running,waiting,slots". The slots are
-// optional and not used.
-func parseLoad(text string) (running, waiting int, ok bool) {
-	parts := strings.Split(text, ",")
-	if len(parts) < 2 {
-		return 0, 0, false
+// maxLoadFigure is the largest figure in a load header that is not taken for a
+// malformed one.
+const maxLoadFigure = 1 << 20
+
+// parseLoad parses the load header, "running,waiting,slots,work". The slots are not
+// used. work is how long work takes at the moment, in percent of its usual time;
+// workPercent is 0 if it is missing or malformed.
+func parseLoad(text string) (running, waiting, workPercent int, ok bool) {
+	parts := strings.SplitN(text, ",", 5)
+	figure := func(i int) (int, bool) {
+		if i >= len(parts) {
+			return 0, false
+		}
+		n, err := strconv.Atoi(strings.TrimSpace(parts[i]))
+		return n, err == nil && n >= 0 && n <= maxLoadFigure
+	}
+	running, ok1 := figure(0)
+	waiting, ok2 := figure(1)
+	if !ok1 || !ok2 {
+		return 0, 0, 0, false
+	}
+	if n, known := figure(3); known {
+		workPercent = n
 	}
-	running, err1 := strconv.Atoi(strings.TrimSpace(parts[0]))
-	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
-	return running, waiting, err1 == nil && err2 == nil
+	return running, waiting, workPercent, true
 }
 
 // isRetryableAnswer reports whether the answer is a server error and the route is
--- a/pkg/steer/request_test.go
+++ b/pkg/steer/request_test.go
@@ -164,10 +164,10 @@
 // zero placing.Outcome that means anything but Answered.
 func TestMalformedLoadIsIgnored(t *testing.T) {
 	for _, text := range []string{"", "1", "a,b,c", "1,x,3"} {
-		_, _, ok := parseLoad(text)
+		_, _, _, ok := parseLoad(text)
 		require.False(t, ok, text)
 	}
-	running, waiting, ok := parseLoad("3, 2,8")
+	running, waiting, _, ok := parseLoad("3, 2,8")
 	require.True(t, ok)
 	require.Equal(t, []int{3, 2}, []int{running, waiting})
 	require.Equal(t, placing.Answered, placing.Outcome(0))
