Refuse answers without an id where a server has sent ids

Cause: a second copy of an answer that bears no request id, late on a connection in use again, was taken for the answer to the next request.

Change: on a connection whose answers had ids, an answer without one is refused, as one with another id is, and the connection is closed. pipenet: a write fails when the other end is closed, as on a socket.

Tests: TestSecondCopiesReachNobody (case 'without an id in use' failed before), TestEndlessBytesAreCutOff: bytes without end in 15 places, none of which did harm.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -81,12 +81,18 @@
 }
 
 // verify refuses a protocol switch and an answer that carries the id of another
-// request.
+// request, or none on a connection whose earlier answers had ids: it may be a late
+// second copy.
 func (x *exchange) verify(resp *http.Response) *result.Error {
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return result.New(result.BadAnswer, "%s switched protocols", x.req.Server).WithRun(result.Unknown)
 	}
-	for _, id := range resp.Header[x.f.cfg.Headers.RequestID] {
+	ids := resp.Header[x.f.cfg.Headers.RequestID]
+	if len(ids) == 0 && x.conn.echoesID {
+		return result.New(result.BadAnswer, "%s sent an answer without the id of a request", x.req.Server).WithRun(result.Unknown)
+	}
+	x.conn.echoesID = len(ids) > 0
+	for _, id := range ids {
 		if id != x.req.RequestID {
 			return result.New(result.BadAnswer, "%s answered request %.64q instead of %q", x.req.Server, id, x.req.RequestID).
 				WithRun(result.Unknown)
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -105,6 +105,8 @@
 	cc     *http.ClientConn
 	pool   *pool
 	reused bool // an earlier exchange was completed on it
+	// echoesID is set once an answer on it carried the id of its request.
+	echoesID bool
 	// dialTime is how long it took to open the connection: at least one round
 	// trip.
 	dialTime time.Duration
--- a/pkg/standin/pipenet/pipenet.go
+++ b/pkg/standin/pipenet/pipenet.go
@@ -141,6 +141,8 @@
 	pendingWrites chan []byte
 	done          chan struct{}
 	once          sync.Once
+	// peerGone is closed when a write failed because the other end is closed.
+	peerGone chan struct{}
 
 	mu       sync.Mutex
 	deadline time.Time // write deadline
@@ -153,7 +155,7 @@
 	n.nextID++
 	id := n.nextID - 1
 	n.mu.Unlock()
-	p := &conn{Conn: c, network: n, id: id, pendingWrites: make(chan []byte, maxPendingWrites), done: make(chan struct{})}
+	p := &conn{Conn: c, network: n, id: id, pendingWrites: make(chan []byte, maxPendingWrites), done: make(chan struct{}), peerGone: make(chan struct{})}
 	go p.forwardWrites()
 	return p
 }
@@ -166,6 +168,7 @@
 		select {
 		case b := <-c.pendingWrites:
 			if _, err := c.Conn.Write(b); err != nil {
+				close(c.peerGone)
 				return
 			}
 		case <-c.done:
@@ -283,6 +286,8 @@
 		return len(b), nil
 	case <-c.done:
 		return 0, net.ErrClosed
+	case <-c.peerGone:
+		return 0, io.ErrClosedPipe
 	case <-expired:
 		return 0, os.ErrDeadlineExceeded
 	}
