Tell hosts that start which servers said that they leave

Cause: what a server said of itself was known to the hosts that got its answers and, by reports, to other regions. A host that started while the store was away took the list of a peer, in which the server was still ready, and sent it requests.

Change: a host that fetches servers for the first time gets the servers that leave with them.

Test: TestStartedHostKnowsWhoLeaves, which failed before (2 requests at the server instead of 1).

--- a/pkg/core/placing/notices.go
+++ b/pkg/core/placing/notices.go
@@ -114,23 +114,31 @@
 	return ServerNotice{Leaving: s.notices.leaving, Pause: max(s.notices.pauses[host].Sub(now), 0)}
 }
 
-// leavingServers returns the start times, in Unix milliseconds, of the servers that
-// said recently that they leave, by ID.
-func (p *Pool) leavingServers(now time.Time) map[string]int64 {
-	var out map[string]int64
+// recentlyLeaving returns the servers that said recently that they leave, like
+// AddLeaving.
+func (p *Pool) recentlyLeaving(now time.Time) map[string]int64 {
+	out := map[string]int64{}
 	for id, n := range p.notices {
 		if n.leaving && now.Sub(n.leavingAt) < leavingReportTime {
-			if out == nil {
-				out = map[string]int64{}
-			}
 			out[id] = n.startedMS
 		}
 	}
 	return out
 }
 
-// recordLeaving records the servers that leave according to another region.
-func (p *Pool) recordLeaving(now time.Time, list map[string]int64) {
+// AddLeaving adds the servers that said that they leave to out: their start times,
+// in Unix milliseconds, by ID.
+func (p *Pool) AddLeaving(out map[string]int64) {
+	for id, n := range p.notices {
+		if n.leaving {
+			out[id] = n.startedMS
+		}
+	}
+}
+
+// RecordLeaving records the servers that leave according to another host, in the
+// form of AddLeaving.
+func (p *Pool) RecordLeaving(now time.Time, list map[string]int64) {
 	for id, startedMS := range list {
 		if s := p.servers[id]; s != nil && s.StartedMS == startedMS && !s.notices.left() {
 			p.RecordNotice(now, s.Server, "", ServerNotice{Leaving: true})
--- a/pkg/core/placing/regions.go
+++ b/pkg/core/placing/regions.go
@@ -32,7 +32,7 @@
 
 // Report returns the report of the own region to the others.
 func (p *Pool) Report(now time.Time) Report {
-	out := Report{Loads: map[string]int{}, Sent: map[string]int{}, Leaving: p.leavingServers(now)}
+	out := Report{Loads: map[string]int{}, Sent: map[string]int{}, Leaving: p.recentlyLeaving(now)}
 	for _, s := range p.sortedServers {
 		if s.region == p.region {
 			out.Loads[s.ID] = int(s.load(now) + 0.5)
@@ -62,7 +62,7 @@
 			}
 		}
 	}
-	p.recordLeaving(now, r.Leaving)
+	p.RecordLeaving(now, r.Leaving)
 	p.regions[region] = regionReport{pressure: r.Pressure, slots: r.Slots, receivedAt: now}
 }
 
--- a/pkg/steer/notices_test.go
+++ b/pkg/steer/notices_test.go
@@ -54,6 +54,32 @@
 	require.Eventually(t, func() bool { sendMany(); return servers["s1"].count() > before+1 }, waitTimeout, time.Millisecond, "the next process of the server")
 }
 
+// Guards against a host that is started while the store is unavailable and sends
+// requests to a server that has told another host that it leaves.
+func TestStartedHostKnowsWhoLeaves(t *testing.T) {
+	h1, servers, source := startTestHost(t, map[string]http.HandlerFunc{
+		"s1": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Leaving", "1")
+			answerOK(w, r)
+		},
+		"s2": answerOK,
+	})
+	for i := 0; servers["s1"].count() == 0; i++ {
+		sendRequest(t, h1, "GET", "/safe/x", "Key", fmt.Sprint(i))
+	}
+	source.setDown(true)
+	h2 := startHost(t, source, "h2", "a-2")
+	require.Eventually(t, func() bool { return h2.ready() && h2.Dump().Servers["p"] == 2 }, waitTimeout, time.Millisecond)
+	// The first host stops, so that the started one dispatches by its own knowledge.
+	require.NoError(t, h1.Stop())
+	require.Eventually(t, func() bool { return h2.dispatches("p") }, waitTimeout, time.Millisecond)
+	for i := range 60 {
+		status, _, _ := sendRequest(t, h2, "GET", "/safe/x", "Key", fmt.Sprint(i))
+		require.Equal(t, http.StatusOK, status)
+	}
+	require.Equal(t, 1, servers["s1"].count())
+}
+
 // Guards against requests to a server within the time for which it turned this host
 // away.
 func TestPausedServerGetsNoRequests(t *testing.T) {
--- a/pkg/steer/pool.go
+++ b/pkg/steer/pool.go
@@ -228,6 +228,20 @@
 	return p.dispatcher.Notice(time.Now(), id, p.host.self.Name)
 }
 
+// addLeaving and recordLeaving exchange the servers that said that they leave with
+// a host that has just started, see placing.Pool.AddLeaving.
+func (p *pool) addLeaving(out map[string]int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatcher.AddLeaving(out)
+}
+
+func (p *pool) recordLeaving(list map[string]int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatcher.RecordLeaving(time.Now(), list)
+}
+
 // rejection returns the error for a choice whose verdict is not Send, or nil.
 func (p *pool) rejection(c placing.Choice, need placing.Need) *result.Error {
 	var err *result.Error
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -294,6 +294,10 @@
 	// Hosts are the known entry hosts of all regions. They are sent to followers
 	// without tables, which may have started during an outage of the store.
 	Hosts []fleet.EntryHost `cbor:"4,keyasint,omitempty"`
+	// Leaving holds the servers that said that they leave: their start times in Unix
+	// milliseconds, by server ID. They are sent to followers without servers, which
+	// have just started.
+	Leaving map[string]int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // serveFeed sends a follower the changes after the revisions that it has. The
@@ -328,6 +332,10 @@
 		answer.Changes[kind] = &c
 	}
 	f.mu.Unlock()
+	if query.Get(feed.Servers.String()) == "0" {
+		answer.Leaving = map[string]int64{}
+		h.eachPool(func(p *pool) { p.addLeaving(answer.Leaving) })
+	}
 	raw, err := cbor.Marshal(&answer)
 	if err != nil {
 		h.log.warn(err, "could not encode the changes for a follower")
@@ -431,6 +439,9 @@
 			h.applyChanges(feed.Kind(kind), *c, completeAt)
 		}
 	}
+	if len(answer.Leaving) > 0 {
+		h.eachPool(func(p *pool) { p.recordLeaving(answer.Leaving) })
+	}
 	return nil
 }
 
