Tell processes of a server apart in notices, take odd items of a peer out singly

Causes, found by reading: (1) a host that did not know yet that a server had been restarted under its ID could return a grant with the notice of the previous process, and the dispatcher kept requests from the new one for a minute. (2) One odd entry in the copy of a peer of another version kept a host from following all others, as the list of the store had done. (3) After a panic while an answer of the store was applied, the watch went on behind the changes that were lost.

Change: notices carry the start time of the process; invalid items of a copy count as removed, invalid tables leave the last ones; a panic counts as a failed call, after which all objects are listed.

Tests: TestNoticeOfThePreviousProcess (failed before), TestOddItemsOfAPeer.

--- a/pkg/core/placing/notices.go
+++ b/pkg/core/placing/notices.go
@@ -22,6 +22,9 @@
 
 // ServerNotice is what a server said of itself in the head of an answer.
 type ServerNotice struct {
+	// StartedMS is the start time of the process that said so, in Unix
+	// milliseconds. A restarted server may have the same ID.
+	StartedMS int64
 	// Leaving means that the server is about to end and takes no new requests.
 	Leaving bool
 	// Pause is how long the server wants no requests from the entry host that it
@@ -83,8 +86,8 @@
 		return
 	}
 	s := p.servers[f.ID]
-	if s == nil || s.StartedMS != f.StartedMS || s.Address != f.Address {
-		return // an earlier process said so
+	if s == nil || s.StartedMS != f.StartedMS || s.Address != f.Address || s.StartedMS != said.StartedMS {
+		return // another process said so
 	}
 	n := s.notices
 	if n == nil {
@@ -111,7 +114,7 @@
 	if s == nil || s.notices == nil {
 		return ServerNotice{}
 	}
-	return ServerNotice{Leaving: s.notices.leaving, Pause: max(s.notices.pauses[host].Sub(now), 0)}
+	return ServerNotice{StartedMS: s.StartedMS, Leaving: s.notices.leaving, Pause: max(s.notices.pauses[host].Sub(now), 0)}
 }
 
 // recentlyLeaving returns the servers that said recently that they leave, like
@@ -141,7 +144,7 @@
 func (p *Pool) RecordLeaving(now time.Time, list map[string]int64) {
 	for id, startedMS := range list {
 		if s := p.servers[id]; s != nil && s.StartedMS == startedMS && !s.notices.left() {
-			p.RecordNotice(now, s.Server, "", ServerNotice{Leaving: true})
+			p.RecordNotice(now, s.Server, "", ServerNotice{StartedMS: startedMS, Leaving: true})
 		}
 	}
 }
--- a/pkg/core/placing/notices_test.go
+++ b/pkg/core/placing/notices_test.go
@@ -27,7 +27,7 @@
 	p, list := newPool(2)
 	now := start
 	require.Positive(t, sentTo(p, now, "h", 50)["a0"])
-	p.RecordNotice(now, list[0], "h", ServerNotice{Leaving: true})
+	p.RecordNotice(now, list[0], "h", ServerNotice{StartedMS: 1, Leaving: true})
 	require.Zero(t, sentTo(p, now, "h", 50)["a0"])
 	require.Zero(t, sentTo(p, now, "other", 50)["a0"], "the news concerns all hosts")
 	_, ok := p.Server(now, "a0", "h")
@@ -42,15 +42,35 @@
 	restarted[0].StartedMS++
 	p.Update(now, restarted, 4, domainRegion)
 	require.Positive(t, sentTo(p, now, "h", 50)["a0"], "another process has the ID")
-	p.RecordNotice(now, list[0], "h", ServerNotice{Leaving: true})
+	p.RecordNotice(now, list[0], "h", ServerNotice{StartedMS: 1, Leaving: true})
 	require.Positive(t, sentTo(p, now, "h", 50)["a0"], "a late answer of the previous process")
 }
 
+// Guards against a dispatcher that takes what the previous process of a server said
+// for the news of the present one: the host that reports it may not know yet that
+// the server was restarted under its ID.
+func TestNoticeOfThePreviousProcess(t *testing.T) {
+	p, list := newPool(1)
+	list[0].StartedMS = 2
+	p.Update(start, list, 4, domainRegion)
+	d := NewDispatcher(p)
+	n := need("k")
+	n.Regions = []string{"a"}
+	for id := range uint64(2) {
+		ref := Ref{"h", id}
+		placed, _ := d.Offer(start, ref, n, start.Add(time.Second))
+		require.Equal(t, "a0", placed.Choice.Server.ID)
+		d.End(start, ref, Completion{Outcome: Abandoned, Notice: ServerNotice{StartedMS: 1, Leaving: true, Pause: time.Minute}})
+	}
+	_, ok := p.Server(start, "a0", "h")
+	require.True(t, ok)
+}
+
 // Guards against losing a server for good that said that it leaves and stayed.
 func TestServerThatStaysIsUsedAgain(t *testing.T) {
 	p, list := newPool(2)
 	now := start
-	p.RecordNotice(now, list[0], "h", ServerNotice{Leaving: true})
+	p.RecordNotice(now, list[0], "h", ServerNotice{StartedMS: 1, Leaving: true})
 	p.Update(now.Add(leavingHold-1), list, 4, domainRegion)
 	require.Zero(t, sentTo(p, now.Add(leavingHold-1), "h", 50)["a0"])
 	draining := append([]fleet.Server(nil), list...)
@@ -67,7 +87,7 @@
 	p, list := newPool(2)
 	other := New("b")
 	other.Update(start, list, 4, domainRegion)
-	p.RecordNotice(start, list[0], "h", ServerNotice{Leaving: true})
+	p.RecordNotice(start, list[0], "h", ServerNotice{StartedMS: 1, Leaving: true})
 	r := p.Report(start)
 	require.Equal(t, map[string]int64{"a0": 1}, r.Leaving)
 	other.RecordRegionReport(start, "a", r)
@@ -83,14 +103,14 @@
 // against keeping other hosts away from it.
 func TestPausesAreOfOneHost(t *testing.T) {
 	p, list := newPool(2)
-	p.RecordNotice(start, list[0], "h", ServerNotice{Pause: 2500 * time.Millisecond})
-	p.RecordNotice(start, list[0], "h", ServerNotice{Pause: 100 * time.Millisecond})
+	p.RecordNotice(start, list[0], "h", ServerNotice{StartedMS: 1, Pause: 2500 * time.Millisecond})
+	p.RecordNotice(start, list[0], "h", ServerNotice{StartedMS: 1, Pause: 100 * time.Millisecond})
 	p.Update(start, list[1:], 4, domainRegion)
 	p.Update(start, list, 4, domainRegion)
 	require.Positive(t, sentTo(p, start, "other", 50)["a0"])
 	end := start.Add(2500 * time.Millisecond)
 	require.Zero(t, sentTo(p, end.Add(-1), "h", 50)["a0"])
-	require.Equal(t, ServerNotice{Pause: time.Second}, p.Notice(end.Add(-time.Second), "a0", "h"))
+	require.Equal(t, ServerNotice{StartedMS: 1, Pause: time.Second}, p.Notice(end.Add(-time.Second), "a0", "h"))
 	require.Positive(t, sentTo(p, end, "h", 50)["a0"])
 }
 
@@ -118,7 +138,7 @@
 			}
 			c := Completion{Outcome: Answered, Took: 40 * time.Millisecond}
 			if s.shed {
-				c = Completion{Outcome: Shed, Notice: ServerNotice{Pause: pause}}
+				c = Completion{Outcome: Shed, Notice: ServerNotice{StartedMS: 1, Pause: pause}}
 				if now.After(pausedUntil[s.ref.Host]) {
 					pausedAt[s.ref.Host], pausedUntil[s.ref.Host] = now, now.Add(pause)
 				}
--- a/pkg/steer/dispatch.go
+++ b/pkg/steer/dispatch.go
@@ -176,7 +176,7 @@
 	h.sendCompletion(reserved.granter, completion{
 		ID: reserved.id, Pool: p.name, Outcome: c.Outcome, TookUS: uint32(min(c.Took.Microseconds(), 1<<31)),
 		LoadReported: c.LoadReported, Running: c.Running, Waiting: c.Waiting,
-		WorkPercent: c.WorkPercent, Leaving: c.Notice.Leaving, PauseMS: uint32(c.Notice.Pause.Milliseconds()),
+		WorkPercent: c.WorkPercent, Notice: noticeMessage(c.Notice),
 	})
 }
 
@@ -260,9 +260,8 @@
 	s, ok := p.server(reply.Server)
 	if !ok {
 		// The dispatcher may not know what the server said to this host.
-		said := p.notice(reply.Server)
 		h.sendCompletion(reserved.granter, completion{
-			ID: reserved.id, Pool: p.name, Outcome: placing.Abandoned, Leaving: said.Leaving, PauseMS: uint32(said.Pause.Milliseconds()),
+			ID: reserved.id, Pool: p.name, Outcome: placing.Abandoned, Notice: noticeMessage(p.notice(reply.Server)),
 		})
 		return false, nil
 	}
@@ -385,7 +384,7 @@
 		if p := h.pool(c.Pool); p != nil {
 			p.endRequest(now, placing.Ref{Host: from, ID: c.ID}, placing.Completion{
 				Outcome: c.Outcome, Took: time.Duration(c.TookUS) * time.Microsecond, LoadReported: c.LoadReported, Running: c.Running, Waiting: c.Waiting,
-				WorkPercent: c.WorkPercent, Notice: placing.ServerNotice{Leaving: c.Leaving, Pause: time.Duration(c.PauseMS) * time.Millisecond},
+				WorkPercent: c.WorkPercent, Notice: c.Notice.serverNotice(),
 			})
 		}
 	}
--- a/pkg/steer/messages.go
+++ b/pkg/steer/messages.go
@@ -121,13 +121,35 @@
 	LoadReported bool `cbor:"5,keyasint,omitempty"`
 	Running      int  `cbor:"6,keyasint,omitempty"`
 	Waiting      int  `cbor:"7,keyasint,omitempty"`
-	// Leaving is set if the server said that it leaves. PauseMS is how long it wants
-	// no requests from the sender, in milliseconds.
-	Leaving bool   `cbor:"8,keyasint,omitempty"`
-	PauseMS uint32 `cbor:"9,keyasint,omitempty"`
+	// Notice is present if the server said something of itself.
+	Notice *notice `cbor:"8,keyasint,omitempty"`
 	// WorkPercent is how long work takes at the server, in percent of its usual
 	// time, 0 if it did not say.
-	WorkPercent int `cbor:"10,keyasint,omitempty"`
+	WorkPercent int `cbor:"9,keyasint,omitempty"`
+}
+
+// notice is what a server said of itself to the sender, see placing.ServerNotice.
+type notice struct {
+	StartedMS int64 `cbor:"1,keyasint"`
+	Leaving   bool  `cbor:"2,keyasint,omitempty"`
+	// PauseMS is how long the server wants no requests from the sender, in
+	// milliseconds.
+	PauseMS uint32 `cbor:"3,keyasint,omitempty"`
+}
+
+// noticeMessage returns nil if the server said nothing.
+func noticeMessage(n placing.ServerNotice) *notice {
+	if !n.Leaving && n.Pause <= 0 {
+		return nil
+	}
+	return &notice{StartedMS: n.StartedMS, Leaving: n.Leaving, PauseMS: uint32(n.Pause.Milliseconds())}
+}
+
+func (n *notice) serverNotice() placing.ServerNotice {
+	if n == nil {
+		return placing.ServerNotice{}
+	}
+	return placing.ServerNotice{StartedMS: n.StartedMS, Leaving: n.Leaving, Pause: time.Duration(n.PauseMS) * time.Millisecond}
 }
 
 // report is the load report about a pool that its dispatcher sends to the other
--- a/pkg/steer/messages_check.go
+++ b/pkg/steer/messages_check.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 )
 
 const (
@@ -107,39 +109,37 @@
 	return nil
 }
 
-// check returns an error if the answer has a value outside its range, for example
-// a server that decodeServer would not have accepted.
+// check returns an error if the ages are outside their range, and takes out the
+// entries that Validate refuses: the host that sent the copy may be of a version that
+// accepts them, and the others have to be followed.
 func (a *feedAnswer) check() error {
 	const maxMS = math.MaxInt64 / int64(time.Millisecond)
 	if a.AgeMS < 0 || a.AgeMS > maxMS || a.SinceOutageMS < 0 || a.SinceOutageMS > maxMS {
 		return errors.Errorf("copy of age %d ms, %d ms after an outage", a.AgeMS, a.SinceOutageMS)
 	}
-	for i := range a.Hosts {
-		if err := a.Hosts[i].Validate(); err != nil {
-			return err
-		}
-	}
-	for kind, c := range a.Changes {
-		if c == nil {
-			continue
-		}
-		for _, item := range c.Items {
-			if err := checkItem(item); err != nil {
-				return errors.Annotatef(err, "changes of %s", feed.Kind(kind))
-			}
+	a.Hosts = slices.DeleteFunc(a.Hosts, func(h fleet.EntryHost) bool { return h.Validate() != nil })
+	for _, c := range a.Changes {
+		if c != nil {
+			takeOutInvalid(c)
 		}
 	}
 	return nil
 }
 
-func checkItem(item feed.Item) error {
-	if item.Server != nil {
-		if err := item.Server.Validate(); err != nil {
-			return err
+// takeOutInvalid takes out the items that Validate refuses. As in a list of the
+// store, an invalid server counts as removed, and invalid tables leave the last ones
+// in force.
+func takeOutInvalid(c *feed.Changes) {
+	valid := c.Items[:0]
+	for _, item := range c.Items {
+		switch {
+		case item.Table != nil && item.Table.Validate() != nil:
+			c.Keep = append(c.Keep, item.Name)
+			continue
+		case item.Server != nil && item.Server.Validate() != nil:
+			item.Server, item.Deleted = nil, true
 		}
+		valid = append(valid, item)
 	}
-	if item.Table != nil {
-		return item.Table.Validate()
-	}
-	return nil
+	c.Items = valid
 }
--- a/pkg/steer/odd_messages_test.go
+++ b/pkg/steer/odd_messages_test.go
@@ -65,13 +65,43 @@
 	require.Equal(t, http.StatusOK, status)
 }
 
+// Guards against one odd entry in the copy of a peer of another version that keeps
+// this host from following the others.
+func TestOddItemsOfAPeer(t *testing.T) {
+	good := fleet.Server{ID: "s1", Pool: "p", Address: "10.0.0.1:80", Domain: "a-1", Slots: 4}
+	odd := good
+	odd.ID, odd.Address = "s2", "10.0.0.1:99999"
+	raw, err := cbor.Marshal(&feedAnswer{
+		Hosts: []fleet.EntryHost{{Name: "x"}},
+		Changes: [feed.NumKinds]*feed.Changes{
+			feed.Tables: {Revision: 3, Complete: true, Items: []feed.Item{{Name: "main", Revision: 3, Table: &fleet.Table{
+				Version: 3, Routes: []fleet.Route{{Targets: []fleet.Target{{Pool: "p", Weight: -1}, {Pool: "q", Weight: 1}}}},
+			}}}},
+			feed.Servers: {Revision: 3, Complete: true, Items: []feed.Item{{Name: "s1", Revision: 2, Server: &good}, {Name: "s2", Revision: 3, Server: &odd}}},
+		},
+	})
+	require.NoError(t, err)
+	var a feedAnswer
+	require.NoError(t, decodeFeedAnswer(raw, &a))
+	require.Empty(t, a.Hosts)
+	replicas := [feed.NumKinds]*feed.Replica{feed.Tables: feed.NewReplica(), feed.Servers: feed.NewReplica()}
+	replicas[feed.Tables].Apply(feed.Changes{Revision: 1, Complete: true, Items: []feed.Item{{Name: "main", Revision: 1, Table: &fleet.Table{Version: 1}}}})
+	for _, kind := range []feed.Kind{feed.Tables, feed.Servers} {
+		replicas[kind].Apply(*a.Changes[kind])
+	}
+	require.Equal(t, int64(1), replicas[feed.Tables].Items()["main"].Table.Version, "the last tables that could be read")
+	require.Len(t, replicas[feed.Servers].Items(), 1)
+	require.Equal(t, &good, replicas[feed.Servers].Items()["s1"].Server)
+	require.Error(t, (&feedAnswer{AgeMS: -1}).check())
+}
+
 // Guards against decoders that panic or accept what the handlers cannot use.
 func FuzzDatagrams(f *testing.F) {
 	for _, d := range []datagram{
 		{From: "x", StartedMS: 1, Beacon: &beacon{Ready: true, Loads: map[string]int{"s1": 2}}},
 		{From: "x", SlotRequest: &slotRequest{ID: 1, Pool: "p", Route: "safe", Key: "k", TargetMS: 100, RemainingMS: 500}},
 		{From: "x", SlotReply: &slotReply{ID: 1, Server: "s1"}},
-		{From: "x", Completions: []completion{{ID: 1, Pool: "p", Leaving: true, PauseMS: 5}}},
+		{From: "x", Completions: []completion{{ID: 1, Pool: "p", Notice: &notice{StartedMS: 1, Leaving: true, PauseMS: 5}}}},
 		{From: "x", Report: []report{{Pool: "p", Region: "b", Report: placing.Report{Leaving: map[string]int64{"s1": 1}}}}},
 		{From: "x", Digest: []sighting{{ID: 1, AgeMS: 5}}},
 	} {
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -223,7 +223,7 @@
 	})
 	took := time.Since(sent)
 	completion := h.completionOf(answer, err, took)
-	completion.Notice = placing.ServerNotice(notice)
+	completion.Notice = placing.ServerNotice{StartedMS: x.reservation.choice.Server.StartedMS, Leaving: notice.Leaving, Pause: notice.Pause}
 	h.recordNotice(x, completion.Notice)
 	h.release(x.pool, x.reservation, x.need, completion)
 	h.metrics.sends.WithLabelValues(x.route.Name, codeName(err)).Inc()
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -154,15 +154,19 @@
 		completeAt := time.Now()
 		var changes feed.Changes
 		var err error
-		read := func() {
+		readAndApply := func() {
 			if listNext {
 				changes, err = h.source.List(ctx, kind)
 			} else {
 				changes, err = h.source.Watch(ctx, kind, h.feeds.revision(kind), feed.WatchWait)
 				completeAt = time.Now() // the store had no newer changes when it answered
 			}
+			if err == nil && ctx.Err() == nil {
+				h.recordUnreadable(kind.String(), changes.Complete, changes.Items, changes.Unreadable)
+				h.applyChanges(kind, changes, completeAt)
+			}
 		}
-		if !h.protect("store", read) {
+		if !h.protect("store", readAndApply) {
 			err = errPanicked
 		}
 		switch {
@@ -183,8 +187,6 @@
 		}
 		backoff, listNext = h.feeds.currentRole().InitialBackoff(true), false
 		h.storeAnswered(kind)
-		h.recordUnreadable(kind.String(), changes.Complete, changes.Items, changes.Unreadable)
-		h.protect("store", func() { h.applyChanges(kind, changes, completeAt) })
 		if len(changes.Items) > 0 && !wait.For(ctx, watchPause) {
 			return
 		}
