--- a/pkg/core/placing/notices.go
+++ b/pkg/core/placing/notices.go
@@ -50,8 +50,8 @@
 	return n != nil && now.Before(n.pauses[host])
 }
 
-// left reports whether the server said that it leaves.
-func (n *notices) left() bool { return n != nil && n.leaving }
+// saidLeaving reports whether the server said that it leaves.
+func (n *notices) saidLeaving() bool { return n != nil && n.leaving }
 
 // noticesOf returns the notices of the present process of a server, or nil.
 func (p *Pool) noticesOf(now time.Time, f fleet.Server) *notices {
@@ -143,7 +143,7 @@
 // form of AddLeaving.
 func (p *Pool) RecordLeaving(now time.Time, list map[string]int64) {
 	for id, startedMS := range list {
-		if s := p.servers[id]; s != nil && s.StartedMS == startedMS && !s.notices.left() {
+		if s := p.servers[id]; s != nil && s.StartedMS == startedMS && !s.notices.saidLeaving() {
 			p.RecordNotice(now, s.Server, "", ServerNotice{StartedMS: startedMS, Leaving: true})
 		}
 	}
--- a/pkg/core/placing/server.go
+++ b/pkg/core/placing/server.go
@@ -74,7 +74,7 @@
 
 // leaves reports whether the server takes no new requests, by its entry or by what
 // it said of itself.
-func (s *server) leaves() bool { return s.Draining || s.notices.left() }
+func (s *server) leaves() bool { return s.Draining || s.notices.saidLeaving() }
 
 // load estimates the number of requests at the server. It is the largest of
 // three values: the requests in progress that the hosts know of, the load that
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -234,8 +234,9 @@
 	return answer, nil
 }
 
-// recordNotice logs and counts what a server said of itself, if that is news. The
-// pool learns it with the completion.
+// recordNotice logs and counts what a server said of itself. A server that leaves
+// says so in every answer, so only the first one counts. The pool learns it when the
+// reservation is released.
 func (h *Host) recordNotice(x *exchange, said placing.ServerNotice) {
 	s := x.reservation.choice.Server
 	if known := x.pool.notice(s.ID); said.Leaving && !known.Leaving {
