--- a/pkg/steer/helpers_test.go
+++ b/pkg/steer/helpers_test.go
@@ -277,3 +277,14 @@
 	require.NoError(t, err)
 	return resp.StatusCode, resp.Header, string(body)
 }
+
+// busy returns the number of connections that are not idle: those that have sent
+// nothing yet, and those with a request in progress.
+func (l *callerConns) busy() (n int) {
+	for _, c := range l.open() {
+		if phase := c.currentPhase(); phase == connNew || phase == connActive {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -21,6 +21,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/overload"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/registry"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/shutdown"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
@@ -182,6 +183,7 @@
 	srv.ErrorLog = h.libraryLogger()
 	h.httpServers = append(h.httpServers, srv)
 	if address == h.cfg().Listen.Caller {
+		l = callerListener{l}
 		h.callerListener, srv.ConnState = l, h.conns.track
 	}
 	h.tomb.Go(func() error {
@@ -230,7 +232,7 @@
 	// callers cache a look-up answer for up to lookupLife, some of them longer.
 	withdrawPeriod = 3 * time.Second
 	// acceptPollInterval is the interval at which a shutdown closes idle
-	// connections and counts busy ones. It is also how long an accepted connection
+	// connections and counts the open ones. It is also how long an accepted connection
 	// may take to appear in conns.
 	acceptPollInterval = 50 * time.Millisecond
 	// exitMargin is the part of the grace period that is left for the exit of the
@@ -257,8 +259,15 @@
 	if err := h.callerListener.Close(); err != nil {
 		h.log.warn(err, "could not close the listener for callers")
 	}
-	for h.conns.closeIdle(); wait.For(ctx, acceptPollInterval) && h.conns.busy() > 0; {
-		h.conns.closeIdle()
+	open, idle := h.conns.count()
+	for perRound := shutdown.ClosesPerRound(idle); ; {
+		h.conns.closeIdle(perRound)
+		if !wait.For(ctx, acceptPollInterval) {
+			break
+		}
+		if open, _ = h.conns.count(); open == 0 {
+			break
+		}
 	}
 	return h.Stop()
 }
--- /dev/null
+++ b/pkg/steer/unread_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package steer
+
+import "net"
+
+// hasUnreadData reports whether data waits to be read from the connection. Elsewhere
+// than on Linux it is not known, and the connection is taken for idle.
+func hasUnreadData(net.Conn) bool { return false }
