--- a/pkg/core/overload/overload.go
+++ b/pkg/core/overload/overload.go
@@ -28,6 +28,11 @@
 	// maxLateness or more. It is longer than the age above which a copy of the
 	// store is taken as a sign of an outage (2.5 s).
 	behindDuration = 4 * time.Second
+	// peakWindow is the time over which the highest lateness counts as recent.
+	peakWindow = time.Second
+	// maxPeak bounds the highest lateness: a process that was stopped for seconds and
+	// continues is not late any more.
+	maxPeak = 500 * time.Millisecond
 	// ewmaWeight is the weight of a new measurement in the moving average. It is
 	// small enough that a single late measurement among timely ones rejects
 	// nothing, up to a lateness of about 80 ms if the full lateness has its default.
@@ -43,6 +48,9 @@
 	ewma, full time.Duration
 	// lastBehind is the time of the last measurement of maxLateness or more.
 	lastBehind time.Time
+	// peak is the highest lateness of the last peakWindow, measured at peakAt.
+	peak   time.Duration
+	peakAt time.Time
 }
 
 // New returns a Guard. full is the lateness at which it rejects all requests.
@@ -63,6 +71,9 @@
 	if late >= maxLateness {
 		g.lastBehind = now
 	}
+	if late >= g.peak || now.Sub(g.peakAt) > peakWindow {
+		g.peak, g.peakAt = late, now
+	}
 	late = min(max(late, 0), maxLateness)
 	g.ewma += time.Duration(ewmaWeight * float64(late-g.ewma))
 }
@@ -82,6 +93,17 @@
 	return g.ewma
 }
 
+// Peak returns the highest lateness of about the last second, up to maxPeak: how long
+// ago an event may have happened that the process learns of now.
+func (g *Guard) Peak(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.peakAt) > peakWindow {
+		return 0
+	}
+	return min(max(g.peak, 0), maxPeak)
+}
+
 // excess returns how far the process is overloaded: 0 up to the lateness at which
 // rejections start, and 1 at the full lateness.
 func (g *Guard) excess() float64 {
--- a/pkg/core/overload/overload_test.go
+++ b/pkg/core/overload/overload_test.go
@@ -166,3 +166,19 @@
 	require.True(t, g.Behind(now.Add(behindDuration-1)))
 	require.False(t, g.Behind(now.Add(behindDuration)))
 }
+
+// Guards against a lateness that is forgotten at once, kept for long, or taken for more
+// than the process can still be late after it was stopped for seconds.
+func TestPeakLateness(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	g := New(DefaultFullLateness)
+	require.Zero(t, g.Peak(now))
+	g.Measure(now, 300*time.Millisecond)
+	g.Measure(now.Add(50*time.Millisecond), 5*time.Millisecond)
+	require.Equal(t, 300*time.Millisecond, g.Peak(now.Add(peakWindow)))
+	g.Measure(now.Add(peakWindow+time.Millisecond), 5*time.Millisecond)
+	require.Equal(t, 5*time.Millisecond, g.Peak(now.Add(peakWindow+time.Millisecond)))
+	require.Zero(t, g.Peak(now.Add(3*peakWindow)))
+	g.Measure(now.Add(4*peakWindow), 5*time.Second)
+	require.Equal(t, maxPeak, g.Peak(now.Add(4*peakWindow)))
+}
--- a/pkg/steer/helpers_test.go
+++ b/pkg/steer/helpers_test.go
@@ -222,8 +222,11 @@
 	once.Name, once.Prefix, once.Idempotent = "once", "/once/", false
 	short := route
 	short.Name, short.Prefix, short.Timeout = "short", "/short/", 300*time.Millisecond
+	long, longOnce := route, once
+	long.Name, long.Prefix, long.Timeout = "long", "/long/", 10*time.Second
+	longOnce.Name, longOnce.Prefix, longOnce.Timeout = "long-once", "/long-once/", 10*time.Second
 	s.put(feed.Tables, feed.Item{Name: "main", Table: &fleet.Table{
-		Version: version, Routes: []fleet.Route{route, once, short}, Pools: []fleet.Pool{{Name: "p", ColdRate: 5}},
+		Version: version, Routes: []fleet.Route{route, once, short, long, longOnce}, Pools: []fleet.Pool{{Name: "p", ColdRate: 5}},
 	}})
 }
 
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -88,10 +88,8 @@
 
 	// leaving is set once a shutdown has begun.
 	leaving atomic.Bool
-	// shutdownDeadline is when a shutdown stops the host at the latest. It is set
-	// just before the shutdown closes the listener for callers and their idle
-	// connections.
-	shutdownDeadline atomic.Pointer[time.Time]
+	// shutdownPlan is the schedule of the shutdown, nil before it begins.
+	shutdownPlan atomic.Pointer[shutdown.Plan]
 	// held is the number of requests that were read and not answered yet.
 	held  atomic.Int64
 	guard *overload.Guard
@@ -227,48 +225,47 @@
 	return err
 }
 
-const (
-	// withdrawPeriod is how long a host that shuts down still takes requests:
-	// callers cache a look-up answer for up to lookupLife, some of them longer.
-	withdrawPeriod = 3 * time.Second
-	// acceptPollInterval is the interval at which a shutdown closes idle
-	// connections and counts the open ones. It is also how long an accepted connection
-	// may take to appear in conns.
-	acceptPollInterval = 50 * time.Millisecond
-	// exitMargin is the part of the grace period that is left for the exit of the
-	// process.
-	exitMargin = 300 * time.Millisecond
-)
+// closeInterval is the interval at which a shutdown closes idle connections and
+// counts the open ones. It is also how long an accepted connection may take to appear
+// in conns.
+const closeInterval = 50 * time.Millisecond
 
 // Shutdown withdraws the host from look-ups, answers the requests in progress and
 // stops the host, within the grace period of the settings.
 func (h *Host) Shutdown(ctx context.Context) error {
-	began := time.Now()
+	now := time.Now()
+	plan := shutdown.New(now, h.cfg().Bounds.Grace.Std(), h.guard.Peak(now))
+	h.shutdownPlan.Store(plan)
 	h.leaving.Store(true)
-	h.log.leaving(h)
-	shutdownDeadline := began.Add(h.cfg().Bounds.Grace.Std() - exitMargin)
-	ctx, cancel := context.WithDeadline(h.tomb.Context(ctx), shutdownDeadline)
+	h.log.leaving(h, plan)
+	ctx, cancel := context.WithDeadline(h.tomb.Context(ctx), plan.End)
 	defer cancel()
-	if !wait.For(ctx, withdrawPeriod) {
-		return h.Stop()
+	if !wait.For(ctx, time.Until(plan.WithdrawnAt)) {
+		return h.stopAfterShutdown()
 	}
 	// http.Server.Shutdown is not used because it drops a request that the server
 	// is reading at that moment. Instead, the listener and idle connections are
 	// closed, and requests on the other accepted connections are answered.
-	h.shutdownDeadline.Store(&shutdownDeadline)
 	if err := h.callerListener.Close(); err != nil {
 		h.log.warn(err, "could not close the listener for callers")
 	}
 	open, idle := h.conns.count()
 	for perRound := shutdown.ClosesPerRound(idle); ; {
 		h.conns.closeIdle(perRound)
-		if !wait.For(ctx, acceptPollInterval) {
+		if !wait.For(ctx, closeInterval) {
 			break
 		}
 		if open, _ = h.conns.count(); open == 0 {
 			break
 		}
 	}
+	return h.stopAfterShutdown()
+}
+
+// stopAfterShutdown stops the host and aborts what is still in progress.
+func (h *Host) stopAfterShutdown() error {
+	open, idle := h.conns.count()
+	h.log.shutdownEnds(h, open, idle)
 	return h.Stop()
 }
 
--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -357,7 +357,8 @@
 	go func() { stopped <- h.Shutdown(context.Background()) }()
 	// This request is in progress when the listener is closed, and runs until the
 	// route's timeout.
-	time.Sleep(withdrawPeriod - 1500*time.Millisecond)
+	require.Eventually(t, func() bool { return h.shutdownPlan.Load() != nil }, waitTimeout, time.Millisecond)
+	time.Sleep(time.Until(h.shutdownPlan.Load().WithdrawnAt) - 1500*time.Millisecond)
 	_, err = fmt.Fprintf(busy, request, "slow", "2")
 	require.NoError(t, err)
 	require.NoError(t, idle.SetReadDeadline(time.Now().Add(waitTimeout)))
@@ -374,7 +375,7 @@
 	h.serveRequest(w, r)
 	// Accepted, because the route's timeout of 2 s ends before the process exits.
 	require.Equal(t, http.StatusOK, w.Code)
-	require.Eventually(t, func() bool { return time.Until(*h.shutdownDeadline.Load()) < 2*time.Second }, waitTimeout, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return time.Until(h.shutdownPlan.Load().End) < 2*time.Second }, waitTimeout, 10*time.Millisecond)
 	w = httptest.NewRecorder()
 	r.Header.Set("Req-Id", "4")
 	h.serveRequest(w, r)
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -11,6 +11,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/shutdown"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
@@ -63,8 +64,16 @@
 	l.SetLevel(log.ParseLevel(c.Level))
 }
 
-func (l *eventLog) leaving(h *Host) {
-	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Msg("entry host is leaving")
+func (l *eventLog) leaving(h *Host, p *shutdown.Plan) {
+	open, idle := h.conns.count()
+	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Int("open", open).Int("idle", idle).
+		Int64("late_ms", h.guard.Peak(time.Now()).Milliseconds()).Int64("end_ms", time.Until(p.End).Milliseconds()).Msg("entry host is leaving")
+}
+
+// shutdownEnds logs what is aborted at the end of a shutdown: held requests, and
+// connections of which some are idle.
+func (l *eventLog) shutdownEnds(h *Host, open, idle int) {
+	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Int("open", open).Int("idle", idle).Msg("shutdown ends")
 }
 
 func (l *eventLog) warn(err error, msg string) {
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -57,10 +57,12 @@
 	x := &exchange{w: w, callerRequest: r, started: time.Now()}
 	h.held.Add(1)
 	defer h.held.Add(-1)
+	answer, err := h.handle(x)
 	if h.leaving.Load() {
+		// Also on answers to requests that were read before the shutdown began: the
+		// caller opens its next connection to another host.
 		w.Header().Set("Connection", "close")
 	}
-	answer, err := h.handle(x)
 	if err != nil {
 		h.reject(x, err)
 		return
@@ -144,13 +146,24 @@
 	return nil
 }
 
-// checkShutdown rejects a request whose deadline is after the end of a shutdown
-// that is in progress.
+// checkShutdown rejects a request that a shutdown in progress might cut off. Another
+// host can serve it at once.
 func (h *Host) checkShutdown(x *exchange) *result.Error {
-	if shutdownDeadline := h.shutdownDeadline.Load(); shutdownDeadline != nil && x.deadline.After(*shutdownDeadline) {
-		return result.New(result.ShuttingDown, "this host stops before the request's deadline").WithRetryAfter(retryAfter(acceptPollInterval))
+	plan := h.shutdownPlan.Load()
+	if plan == nil || plan.Takes(x.started, x.deadline, x.route.Idempotent) {
+		return nil
 	}
-	return nil
+	return result.New(result.ShuttingDown, "this host stops in %d ms, before the request's deadline", time.Until(plan.End).Milliseconds()).
+		WithRetryAfter(retryAfter(0))
+}
+
+// waitUntil returns how long a request may wait for a slot: until its deadline, or
+// until a shutdown in progress needs its rejection.
+func (h *Host) waitUntil(deadline time.Time) time.Time {
+	if plan := h.shutdownPlan.Load(); plan != nil {
+		return plan.WaitUntil(deadline)
+	}
+	return deadline
 }
 
 // defaultTimeout applies if neither the caller nor the route sets a limit.
@@ -177,7 +190,7 @@
 	x.pool.countRequest(x.need, h.peers.count())
 	var previousErr *result.Error // of the previous attempt
 	for {
-		reserved, err := h.acquire(x.callerRequest.Context(), x.pool, x.need, x.deadline, x.attempts == 0)
+		reserved, err := h.acquire(x.callerRequest.Context(), x.pool, x.need, h.waitUntil(x.deadline), x.attempts == 0)
 		x.waited += reserved.waited
 		if err != nil {
 			return nil, x.finalError(err, previousErr)
--- a/pkg/steer/shutdown_test.go
+++ b/pkg/steer/shutdown_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -87,6 +88,45 @@
 	}
 }
 
+// answerAtDeadline is a server that works until the deadline of a request, and then
+// answers 504. The answer is on its way for a while.
+func answerAtDeadline(w http.ResponseWriter, r *http.Request) {
+	ms, _ := strconv.Atoi(r.Header.Get("Left-Ms"))
+	time.Sleep(time.Duration(ms)*time.Millisecond + deadlineAnswerSlack/2)
+	w.WriteHeader(http.StatusGatewayTimeout)
+}
+
+// Guards against a request that is taken late in a shutdown and cut off at its end: one
+// whose server answers just after the deadline, and one that may not be repeated and
+// lasts longer than the process.
+func TestLateRequestsAreNotCut(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after time.Duration // from the beginning of the shutdown
+		left  time.Duration // until the request's deadline
+		path  string
+	}{
+		"ends with the process":  {3900 * time.Millisecond, 1790 * time.Millisecond, "/safe/x"},
+		"ends just before":       {3900 * time.Millisecond, 1750 * time.Millisecond, "/once/x"},
+		"not repeatable, longer": {2500 * time.Millisecond, 4 * time.Second, "/long-once/x"},
+		"sent late, longer":      {2950 * time.Millisecond, 4 * time.Second, "/long/x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": answerAtDeadline, "s2": answerAtDeadline})
+			conn, err := net.Dial("tcp4", h.self.CallerAddress)
+			require.NoError(t, err)
+			defer conn.Close()
+			stopped := make(chan error, 1)
+			began := time.Now()
+			go func() { stopped <- h.Shutdown(context.Background()) }()
+			time.Sleep(time.Until(began.Add(tc.after)))
+			_, err = exchangeOn(bufio.NewReadWriter(bufio.NewReader(conn), bufio.NewWriter(conn)), fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nReq-Id: late\r\nLeft-Ms: %d\r\nContent-Length: 0\r\n\r\n", tc.path, tc.left.Milliseconds()))
+			require.NoError(t, err, "cut after %s", time.Since(began))
+			require.NoError(t, <-stopped)
+		})
+	}
+}
+
 // Guards against a close of an idle connection that is not called off when a request
 // has arrived that nobody has read yet, and against a read deadline that outlasts the
 // close that was called off.
--- a/test/soak/shutdown_test.go
+++ b/test/soak/shutdown_test.go
@@ -88,7 +88,9 @@
 
 // TestShutdownOfBusyHost guards against requests that are passed on and cut off by a
 // planned shutdown of a host with a part of a core and thousands of kept connections:
-// because their connections are closed as idle when they arrive. SHUTDOWN_ROUNDS sets how many hosts are stopped.
+// because their connections are closed as idle when they arrive, because the host
+// handles the signal late and counts its time from then on, or because they last
+// longer than the process. SHUTDOWN_ROUNDS sets how many hosts are stopped.
 func TestShutdownOfBusyHost(t *testing.T) {
 	const (
 		conns     = 2000
@@ -111,28 +113,77 @@
 			var ended time.Time
 			exited := make(chan struct{})
 			go func() { <-h.exited; ended = time.Now(); close(exited) }()
-			var wg sync.WaitGroup
-			var mu sync.Mutex
-			counts := map[string]int{}
-			for i := 0; i < len(kept) && time.Since(signalled) < grace; i++ {
-				time.Sleep(time.Until(signalled.Add(sendAfter + time.Duration(i)*time.Second/perSecond)))
-				wg.Go(func() {
-					outcome := s.sendDuringShutdown(h, kept[i], fmt.Sprintf("late-%d-%d", round, i), i, signalled)
-					mu.Lock()
-					defer mu.Unlock()
-					counts[outcome]++
-				})
-			}
-			wg.Wait()
+			outcomes := s.sendToLeavingHost(h, kept, signalled.Add(sendAfter), perSecond, signalled)
 			<-exited
 			killed.Stop()
 			stopThrottle()
-			t.Logf("the process ended %s after SIGTERM; requests by outcome: %v", ended.Sub(signalled).Round(time.Millisecond), counts)
+			t.Logf("the process ended %s after SIGTERM; requests by outcome: %v", ended.Sub(signalled).Round(time.Millisecond), outcomes)
 			s.recorder.checkRuns()
 			require.Empty(t, s.recorder.violations)
-			require.Positive(t, counts["status 200"])
+			require.Positive(t, outcomes["status 200"])
+		})
+	}
+}
+
+// TestLateRequestsOfBusyHost guards against requests that are taken late in a planned
+// shutdown and cut off at its end, because the host handles the signal late and counts
+// its time from then on, or because the answer to an expired deadline arrives after the
+// process. The servers answer nothing before the deadlines.
+func TestLateRequestsOfBusyHost(t *testing.T) {
+	const conns, perSecond = 240, 60
+	t.Setenv("GOMAXPROCS", "1") // for the processes
+	for round := range intFromEnv(t, "SHUTDOWN_ROUNDS", 1) {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			s := newSoak(t, 1, 1, 32)
+			s.awaitSteadyState("at the start")
+			h := s.hosts[0]
+			for _, b := range s.backends {
+				b.server.Load().SetFaults(standin.ServerFaults{Delay: waitTimeout})
+			}
+			var fresh []*keptConn
+			for range conns {
+				c, err := net.DialTimeout("tcp4", h.callerAddress, waitTimeout)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = c.Close() })
+				fresh = append(fresh, &keptConn{Conn: c, r: bufio.NewReader(c)})
+			}
+			stopThrottle := throttle(h, 20*time.Millisecond)
+			time.Sleep(time.Second)
+			signalled := time.Now()
+			h.signal(syscall.SIGTERM)
+			killed := time.AfterFunc(grace, func() { h.signal(syscall.SIGKILL) })
+			outcomes := s.sendToLeavingHost(h, fresh, signalled.Add(1500*time.Millisecond), perSecond, signalled)
+			<-h.exited
+			killed.Stop()
+			stopThrottle()
+			t.Logf("requests by outcome: %v", outcomes)
+			s.recorder.checkRuns()
+			require.Empty(t, s.recorder.violations)
+			require.Positive(t, outcomes["status 504"])
+		})
+	}
+}
+
+// sendToLeavingHost sends a request on each connection, from first on, until the grace
+// period is over, and counts the outcomes.
+func (s *soak) sendToLeavingHost(h *host, conns []*keptConn, first time.Time, perSecond int, signalled time.Time) map[string]int {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := map[string]int{}
+	for i, k := range conns {
+		time.Sleep(time.Until(first.Add(time.Duration(i) * time.Second / time.Duration(perSecond))))
+		if time.Since(signalled) >= grace {
+			break
+		}
+		wg.Go(func() {
+			outcome := s.sendDuringShutdown(h, k, fmt.Sprint("late-", i), i, signalled)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[outcome]++
 		})
 	}
+	wg.Wait()
+	return outcomes
 }
 
 // sendDuringShutdown sends one request on a kept connection of a host that was
@@ -140,7 +191,7 @@
 func (s *soak) sendDuringShutdown(h *host, k *keptConn, id string, n int, signalled time.Time) (outcome string) {
 	r := standin.Request{Address: h.callerAddress, Host: "a.example", Method: http.MethodGet, Path: "/safe/", ID: id, Key: fmt.Sprint(n % 40)}
 	// The deadlines differ, so that some end just before the process does.
-	r.Deadline = time.Second + time.Duration(n%20)*100*time.Millisecond
+	r.Deadline = time.Second + time.Duration(n%20)*200*time.Millisecond
 	if n%2 == 0 {
 		r.Method, r.Path = http.MethodPut, "/once/"
 	}
