--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -60,6 +60,9 @@
 			code = result.WrongServer
 		}
 		err := result.New(code, "%s refused the request with status %d", x.req.Server, resp.StatusCode).WithRetryAfter(retryAfter(resp.Header))
+		if x.req.Once {
+			x.conn.refused = append(x.conn.refused, x.req.RequestID)
+		}
 		// The connection can be reused only if the body is read to its end.
 		a.bufferShortBody()
 		a.Close()
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,6 +108,9 @@
 	reused bool // an earlier exchange was completed on it
 	// echoesID is set once an answer on it carried the id of its request.
 	echoesID bool
+	// refused holds the ids of the writes that were refused on it. The server may send
+	// such a refusal once more.
+	refused []string
 	// dialTime is how long it took to open the connection: at least one round
 	// trip.
 	dialTime time.Duration
@@ -127,10 +131,17 @@
 	})
 }
 
+// maxRefusedWrites bounds the refusals of writes on one connection.
+const maxRefusedWrites = 64
+
+// hasRefused reports whether the request with the given id was refused on c. A copy of
+// that refusal could not be told from the answer if the request were sent on c again.
+func (c *conn) hasRefused(id string) bool { return slices.Contains(c.refused, id) }
+
 // release returns the connection to its pool if the answer was read to its end
 // and the connection can carry another request. Otherwise it closes it.
 func (c *conn) release(complete bool) {
-	if !complete || c.cc.Err() != nil || c.cc.Available() != 1 {
+	if !complete || c.cc.Err() != nil || c.cc.Available() != 1 || len(c.refused) >= maxRefusedWrites {
 		c.close()
 		return
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -268,7 +268,7 @@
 	}
 	maxAge = x.f.idleLimit.clamp(x.f.now(), maxAge)
 	x.curAttempt = &attempt{requestValid: x.req.Valid}
-	c, err := x.pool.get(x.ctx, maxAge)
+	c, err := x.pool.get(x.ctx, maxAge, x.req.RequestID)
 	if err != nil {
 		return nil, x.failure(err), false
 	}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -22,16 +22,16 @@
 	lastRequested time.Time // when get was last called
 }
 
-// get returns an idle connection whose last answer is at most maxAge old, or a
-// new connection. Idle connections count towards the connection limit, so the
+// get returns an idle connection whose last answer is at most maxAge old and on which
+// the request with the given id was not refused before, or a new connection. Idle connections count towards the connection limit, so the
 // oldest of them is closed if a new connection needs its place.
-func (p *pool) get(ctx context.Context, maxAge time.Duration) (*conn, error) {
+func (p *pool) get(ctx context.Context, maxAge time.Duration, requestID string) (*conn, error) {
 	for {
 		c := p.takeNewest(maxAge)
 		if c == nil {
 			break
 		}
-		if c.cc.Err() == nil {
+		if c.cc.Err() == nil && !c.hasRefused(requestID) {
 			return c, nil
 		}
 		c.close()
--- /dev/null
+++ b/pkg/forward/refusal_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/result"
+)
+
+// refusalOf is the text of a refusal of a request; without its id if id is empty.
+func refusalOf(id string) string {
+	text := "HTTP/1.1 503 S\r\n" + HeaderRun + ": not-run\r\n"
+	if id != "" {
+		text += HeaderRequestID + ": " + id + "\r\n"
+	}
+	return text + "Content-Length: 0\r\n\r\n"
+}
+
+// answerTo is the text of an answer to a request that ran.
+func answerTo(id string) string {
+	return "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": " + id + "\r\nStamp: s\r\nContent-Length: 0\r\n\r\n"
+}
+
+// write sends a write with the given id.
+func (env *testEnv) write(id string) (*Answer, *result.Error) {
+	return env.do(Request{In: request("POST", "/orders", "kit"), Once: true, RequestID: id, DeadlineAt: time.Now().Add(time.Second)})
+}
+
+// Guards against sending a write again on the connection on which it was refused, for
+// example because a server that has started anew answers for its old id first: a copy of
+// the refusal has the id of this request.
+func TestRefusedWriteLeavesItsConnection(t *testing.T) {
+	bubble(t, Config{}, func(t *testing.T, env *testEnv) {
+		ran := 0
+		env.script("b", func(i int, c net.Conn, r *bufio.Reader) {
+			for n := 0; ; n++ {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				id := req.Header.Get(HeaderRequestID)
+				if i == 0 && n == 0 {
+					_, _ = io.WriteString(c, refusalOf(id))
+					continue
+				}
+				ran++
+				if i == 0 {
+					_, _ = io.WriteString(c, refusalOf("r0"))
+				}
+				_, _ = io.WriteString(c, answerTo(id))
+			}
+		})
+		_, err := env.write("r0")
+		env.requireError(result.ServerShed, result.NotRun, err)
+		a, err := env.write("r0")
+		require.Equal(t, 1, ran)
+		require.Nil(t, err)
+		require.Equal(t, http.StatusOK, a.Status)
+	})
+}
+
+// Guards against a connection that keeps the ids of ever more refused writes, and
+// against one that forgets them.
+func TestRefusedWritesAreBounded(t *testing.T) {
+	bubble(t, Config{}, func(t *testing.T, env *testEnv) {
+		opened := 0
+		env.script("b", func(i int, c net.Conn, r *bufio.Reader) {
+			opened = i + 1
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(c, refusalOf(req.Header.Get(HeaderRequestID)))
+			}
+		})
+		for i := range 2*maxRefusedWrites + 1 {
+			_, err := env.write(fmt.Sprint("r", i))
+			env.requireError(result.ServerShed, result.NotRun, err)
+		}
+		require.Equal(t, 3, opened)
+	})
+}
