--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -83,10 +83,13 @@
 	return a, nil
 }
 
-// verify refuses a protocol switch and an answer that carries the id of another
-// request, or none on a connection whose earlier answers had ids: it may be a late
-// second copy.
+// verify refuses a protocol switch, two heads that run together, and an answer that
+// carries the id of another request, or none on a connection whose earlier answers had
+// ids: it may be a late second copy.
 func (x *exchange) verify(resp *http.Response) *result.Error {
+	if isRunTogether(resp.Header) {
+		return result.New(result.BadAnswer, "%s began another answer within the head of one", x.req.Server).WithRun(result.Unknown)
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return result.New(result.BadAnswer, "%s switched protocols", x.req.Server).WithRun(result.Unknown)
 	}
--- a/pkg/forward/header.go
+++ b/pkg/forward/header.go
@@ -65,6 +65,23 @@
 	return value != "" && resp.StatusCode >= http.StatusBadRequest
 }
 
+// isRunTogether reports whether the head of an answer contains the beginning of another
+// one: a server that breaks off a head, keeps the connection and goes on with the next
+// answer makes one head of both, with the status of the first one.
+func isRunTogether(h http.Header) bool {
+	for _, values := range h {
+		for _, v := range values {
+			if strings.Contains(v, statusLineStart) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// statusLineStart begins the head of every HTTP/1 answer.
+const statusLineStart = "HTTP/1."
+
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
--- a/pkg/forward/refusal_test.go
+++ b/pkg/forward/refusal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +91,28 @@
 		require.Equal(t, 3, opened)
 	})
 }
+
+// Guards against the head of a refusal that a server breaks off, while it keeps the
+// connection, so that the head of the next answer becomes a part of it: the next request
+// ran, but the head says that it did not, with its id.
+func TestHeadsThatRunTogether(t *testing.T) {
+	for name, begin := range map[string]string{
+		"in the header":           "HTTP/1.1 503 S\r\n" + HeaderRun + ": not-run",
+		"in another header":       "HTTP/1.1 503 S\r\n" + HeaderRun + ": not-run\r\nDate: Sat",
+		"before a continued line": "HTTP/1.1 503 S\r\n" + HeaderRun + ": not-run\r\nDate: Sat\r\n ",
+		"a successful answer":     "HTTP/1.1 200 OK\r\nDate: Sat",
+	} {
+		for _, run := range []string{answerTo("r1"), strings.Replace(answerTo("r1"), "Stamp: s\r\n", "", 1)} {
+			t.Run(name, func(t *testing.T) {
+				bubble(t, Config{Headers: Headers{RequestID: HeaderRequestID, Deadline: HeaderDeadline, NotRun: HeaderRun}}, func(t *testing.T, env *testEnv) {
+					env.script("b", func(_ int, c net.Conn, r *bufio.Reader) {
+						_, _ = http.ReadRequest(r)
+						_, _ = io.WriteString(c, begin+run)
+					})
+					_, err := env.write("r1")
+					env.requireError(result.BadAnswer, result.Unknown, err)
+				})
+			})
+		}
+	}
+}
