--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -55,6 +55,11 @@
 		*x.req.Notice = x.f.cfg.Headers.notice(resp)
 	}
 	if !x.relay && x.f.cfg.Headers.reportsNotRun(resp) {
+		if !x.refusalIsCertain(resp) {
+			a.abandon()
+			return nil, result.New(result.BadAnswer, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode).
+				WithRun(result.Unknown)
+		}
 		code := result.ServerShed
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			code = result.WrongServer
@@ -63,6 +68,10 @@
 		if x.req.Once {
 			x.conn.refused = append(x.conn.refused, x.req.RequestID)
 		}
+		if len(resp.Header[x.f.cfg.Headers.RequestID]) == 0 {
+			a.abandon() // a copy could not be recognised
+			return nil, err
+		}
 		// The connection can be reused only if the body is read to its end.
 		a.bufferShortBody()
 		a.Close()
@@ -71,6 +80,11 @@
 	removeHopByHop(a.Header)
 	if x.relay {
 		a.readRelayResult()
+		if a.Run == result.NotRun && !x.refusalIsCertain(resp) {
+			a.abandon()
+			return nil, result.New(result.BadAnswer, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode).
+				WithRun(result.Unknown)
+		}
 	} else {
 		// Only entry hosts report to the caller in these headers.
 		delete(a.Header, HeaderRun)
@@ -83,6 +97,25 @@
 	return a, nil
 }
 
+// refusalIsCertain reports whether an answer that says "not run" is the server's answer
+// to this request. A faulty server may send an earlier refusal once more on a kept
+// connection, whole or broken off. A refusal is certain if it has the id of this request,
+// as verify has checked, and no sign of a run; without an id only if it is the first
+// answer on its connection.
+func (x *exchange) refusalIsCertain(resp *http.Response) bool {
+	names := x.f.cfg.Headers
+	if names.Stamp != "" && len(resp.Header[names.Stamp]) > 0 {
+		return false
+	}
+	switch ids := resp.Header[names.RequestID]; len(ids) {
+	case 0:
+		return !x.conn.reused
+	case 1:
+		return x.req.RequestID != "" || !x.conn.reused
+	}
+	return false
+}
+
 // verify refuses a protocol switch, two heads that run together, and an answer that
 // carries the id of another request, or none on a connection whose earlier answers had
 // ids: it may be a late second copy.
--- a/pkg/forward/header.go
+++ b/pkg/forward/header.go
@@ -39,6 +39,9 @@
 	// ExpectServer, if set, names the header with the id of the only server
 	// that may run the request; any other server answers 421.
 	ExpectServer string
+	// Stamp, if set, names the header by which a server signs the answer to a request
+	// that it ran.
+	Stamp string
 	// Leaving, if set, names the header that a server sends with the value
 	// LeavingValue once it is about to end.
 	Leaving, LeavingValue string
@@ -53,7 +56,8 @@
 	RequestID: HeaderRequestID, Deadline: HeaderDeadline, NotRun: HeaderRun, NotRunValue: string(result.NotRun), Forwarded: true,
 }
 
-// reportsNotRun reports whether an answer says that the request was not run.
+// reportsNotRun reports whether an answer says that the request was not run. It does
+// not tell whether that may be believed, see refusalIsCertain.
 func (n Headers) reportsNotRun(resp *http.Response) bool {
 	if n.ExpectServer != "" && resp.StatusCode == http.StatusMisdirectedRequest {
 		return true
