--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -72,9 +72,7 @@
 			a.abandon() // a copy could not be recognised
 			return nil, err
 		}
-		// The connection can be reused only if the body is read to its end.
-		a.bufferShortBody()
-		a.Close()
+		a.discardShortBody()
 		return nil, err
 	}
 	removeHopByHop(a.Header)
@@ -203,6 +201,19 @@
 	return nil
 }
 
+// refusalBodyTimeout is how long the rest of a refusal may take. The request is held
+// up meanwhile.
+const refusalBodyTimeout = 50 * time.Millisecond
+
+// discardShortBody reads the body of a refusal and closes the answer. The connection can
+// be reused only if the body is read to its end.
+func (a *Answer) discardShortBody() {
+	timer := time.AfterFunc(refusalBodyTimeout, a.x.conn.close)
+	defer timer.Stop()
+	a.bufferShortBody()
+	a.Close()
+}
+
 // release returns the connection to its pool, or closes it if the body was not
 // read to its end, and ends the exchange. Only the first call has an effect.
 func (a *Answer) release() {
--- a/pkg/forward/refusal_test.go
+++ b/pkg/forward/refusal_test.go
@@ -186,6 +186,23 @@
 	})
 }
 
+// Guards against a refusal whose body does not come to its end and holds up the request
+// until its deadline, although it could be sent to another server at once.
+func TestRefusalWithoutItsBody(t *testing.T) {
+	bubble(t, Config{}, func(t *testing.T, env *testEnv) {
+		env.script("b", func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = io.WriteString(c, strings.Replace(refusalOf("r1"), "Length: 0", "Length: 10", 1)+"begin")
+			_, _ = r.ReadByte()
+		})
+		start := time.Now()
+		_, err := env.write("r1")
+		env.requireError(result.ServerShed, result.NotRun, err)
+		require.LessOrEqual(t, time.Since(start), refusalBodyTimeout)
+		require.Zero(t, env.f.Dump()[0].Open)
+	})
+}
+
 // Guards against another entry host whose "not run" is believed although nothing says
 // that it belongs to this request.
 func TestRelayedRefusalNeedsTheID(t *testing.T) {
