--- a/pkg/steer/conns.go
+++ b/pkg/steer/conns.go
@@ -76,6 +76,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// CloseWrite ends the sending side of the connection. net/http uses it so that the
+// answer to a request whose body it does not read arrives before the connection is reset.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // http2Preface begins what a caller sends on an HTTP/2 connection.
 const http2Preface = "PRI"
 
--- a/pkg/steer/shutdown_test.go
+++ b/pkg/steer/shutdown_test.go
@@ -127,6 +127,29 @@
 	}
 }
 
+// Guards against a wrapped connection that net/http cannot half-close: a caller that is
+// still sending its body would have its connection reset before it has read the answer.
+func TestCallerConnHalfCloses(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	accepted, err := callerListener{l}.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	require.NoError(t, accepted.(interface{ CloseWrite() error }).CloseWrite())
+	require.NoError(t, caller.SetDeadline(time.Now().Add(waitTimeout)))
+	_, err = caller.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	_, err = io.WriteString(caller, "still open")
+	require.NoError(t, err)
+	n, err := accepted.Read(make([]byte, 100))
+	require.NoError(t, err)
+	require.Equal(t, len("still open"), n)
+}
+
 // Guards against a close of an idle connection that is not called off when a request
 // has arrived that nobody has read yet, and against a read deadline that outlasts the
 // close that was called off.
