--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -249,13 +249,10 @@
 	if err := h.callerListener.Close(); err != nil {
 		h.log.warn(err, "could not close the listener for callers")
 	}
-	open, idle := h.conns.count()
-	for perRound := shutdown.ClosesPerRound(idle); ; {
-		h.conns.closeIdle(perRound)
-		if !wait.For(ctx, closeInterval) {
-			break
-		}
-		if open, _ = h.conns.count(); open == 0 {
+	_, idle := h.conns.count()
+	perRound := shutdown.ClosesPerRound(idle)
+	for h.conns.closeIdle(perRound); wait.For(ctx, closeInterval); h.conns.closeIdle(perRound) {
+		if open, _ := h.conns.count(); open == 0 {
 			break
 		}
 	}
--- a/pkg/steer/shutdown_test.go
+++ b/pkg/steer/shutdown_test.go
@@ -127,21 +127,29 @@
 	}
 }
 
-// Guards against a wrapped connection that net/http cannot half-close: a caller that is
-// still sending its body would have its connection reset before it has read the answer.
-func TestCallerConnHalfCloses(t *testing.T) {
+// acceptCaller returns both ends of a connection, as the host accepts it and as the
+// caller has it.
+func acceptCaller(t *testing.T) (accepted, caller net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
-	caller, err := net.Dial("tcp4", l.Addr().String())
+	caller, err = net.Dial("tcp4", l.Addr().String())
 	require.NoError(t, err)
-	defer caller.Close()
-	accepted, err := callerListener{l}.Accept()
+	t.Cleanup(func() { _ = caller.Close() })
+	accepted, err = callerListener{l}.Accept()
 	require.NoError(t, err)
-	defer accepted.Close()
+	t.Cleanup(func() { _ = accepted.Close() })
+	return accepted, caller
+}
+
+// Guards against a wrapped connection that net/http cannot half-close: a caller that is
+// still sending its body would have its connection reset before it has read the answer.
+func TestCallerConnHalfCloses(t *testing.T) {
+	accepted, caller := acceptCaller(t)
 	require.NoError(t, accepted.(interface{ CloseWrite() error }).CloseWrite())
 	require.NoError(t, caller.SetDeadline(time.Now().Add(waitTimeout)))
-	_, err = caller.Read(make([]byte, 1))
+	_, err := caller.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 	_, err = io.WriteString(caller, "still open")
 	require.NoError(t, err)
@@ -154,20 +162,12 @@
 // has arrived that nobody has read yet, and against a read deadline that outlasts the
 // close that was called off.
 func TestRequestThatCrossesAClose(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	caller, err := net.Dial("tcp4", l.Addr().String())
-	require.NoError(t, err)
-	defer caller.Close()
-	accepted, err := callerListener{l}.Accept()
-	require.NoError(t, err)
-	defer accepted.Close()
+	accepted, caller := acceptCaller(t)
 	c := accepted.(*callerConn)
 	require.False(t, c.closeIfIdle(), "nothing has arrived yet")
 	c.setIdle()
 	require.NoError(t, c.SetReadDeadline(time.Now().Add(waitTimeout)))
-	_, err = io.WriteString(caller, "first")
+	_, err := io.WriteString(caller, "first")
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return hasUnreadData(c.Conn) }, waitTimeout, time.Millisecond)
 	require.True(t, c.closeIfIdle())
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -91,12 +90,10 @@
 // callers read nothing of their answers.
 func TestEndlessAnswers(t *testing.T) {
 	const callers, length = 30, 5 * time.Second
-	s := &soak{t: t, store: standin.NewStore(), recorder: newRecorder(), tablesVersion: 1}
-	storeServer := httptest.NewServer(s.store)
-	t.Cleanup(storeServer.Close)
+	s := newEmptySoak(t)
 	route := standin.Route{Name: "sound", Host: "a.example", Prefix: "/once/", Pool: "sound", Timeout: 2 * time.Second, Target: 200 * time.Millisecond}
 	faulty := standin.Route{Name: "faulty", Host: "a.example", Prefix: "/faulty/", Pool: "faulty", Idempotent: true, Timeout: 1500 * time.Millisecond, Target: 200 * time.Millisecond}
-	s.store.Configure(1, 1000, []string{"sound", "faulty"}, []standin.Route{route, faulty})
+	s.store.Configure(s.tablesVersion, 1000, []string{"sound", "faulty"}, []standin.Route{route, faulty})
 	sound := &standin.Server{
 		ServerEntry: standin.ServerEntry{ID: "sound", Pool: "sound", Address: freeAddress(t), Domain: "a-1", Slots: 8, StartedMS: 1},
 		ServiceTime: 5 * time.Millisecond, OnRun: s.recorder.recordRun,
@@ -111,11 +108,8 @@
 		startEndlessServer(t, entry.Address, text, sent[name])
 		s.store.Publish(entry, "ready")
 	}
-	h := newHost(t, "h0", "a-1", strings.TrimPrefix(storeServer.URL, "http://"), func(name string, err error) {
-		s.recorder.addViolation("%s ended by itself: %v", name, err)
-	})
-	s.hosts = []*host{h}
-	s.awaitTables(waitTimeout, "at the start")
+	s.startOnlyHost()
+	h := s.hosts[0]
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/test/soak/refusals_test.go
+++ b/test/soak/refusals_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -231,11 +230,9 @@
 	for name, m := range misbehaviours {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := &soak{t: t, store: standin.NewStore(), recorder: newRecorder(), tablesVersion: 1}
-			storeServer := httptest.NewServer(s.store)
-			t.Cleanup(storeServer.Close)
+			s := newEmptySoak(t)
 			route := standin.Route{Name: "once", Host: "a.example", Prefix: "/once/", Pool: "p", Timeout: 2 * time.Second, Target: 200 * time.Millisecond}
-			s.store.Configure(1, 1000, []string{"p"}, []standin.Route{route})
+			s.store.Configure(s.tablesVersion, 1000, []string{"p"}, []standin.Route{route})
 			var servers []*faultyServer
 			for i := range 3 {
 				f := &faultyServer{
@@ -246,23 +243,9 @@
 				f.start(t)
 				servers = append(servers, f)
 			}
-			s.hosts = []*host{newHost(t, "h0", "a-1", strings.TrimPrefix(storeServer.URL, "http://"), func(name string, err error) {
-				s.recorder.addViolation("%s ended by itself: %v", name, err)
-			})}
-			s.awaitTables(waitTimeout, "at the start")
+			s.startOnlyHost()
 			if m.restarts {
-				stop := make(chan struct{})
-				defer close(stop)
-				go func() {
-					for n := 1; ; n++ {
-						select {
-						case <-stop:
-							return
-						case <-time.After(150 * time.Millisecond):
-							servers[n%len(servers)].restart(s.store, n)
-						}
-					}
-				}()
+				defer restartInTurn(servers, s.store)()
 			}
 			statuses := s.sendUnsafe(length)
 			s.recorder.checkRuns()
@@ -273,6 +256,23 @@
 	}
 }
 
+// restartInTurn gives one server after the other a new id until stop is called.
+func restartInTurn(servers []*faultyServer, store *standin.Store) (stop func()) {
+	const interval = 150 * time.Millisecond
+	done := make(chan struct{})
+	go func() {
+		for n := 1; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(interval):
+				servers[n%len(servers)].restart(store, n)
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
 // sendUnsafe sends requests that may not be repeated, and returns the number of answers
 // by status.
 func (s *soak) sendUnsafe(length time.Duration) map[int]int {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -127,9 +127,11 @@
 	rng *rand.Rand
 	// planned is set if the seed has only planned work, which callers must not
 	// notice, instead of faults.
-	planned       bool
-	store         *standin.Store
-	storeProxy    *tcpProxy
+	planned    bool
+	store      *standin.Store
+	storeProxy *tcpProxy
+	// storeAddress is the address of the store itself.
+	storeAddress  string
 	hosts         []*host
 	backends      []*backend
 	recorder      *recorder
@@ -142,13 +144,10 @@
 const plannedSeedInterval = 5
 
 func newSoak(t *testing.T, seed uint64, hosts, servers int) *soak {
-	s := &soak{
-		t: t, rng: rand.New(rand.NewPCG(seed, 77)), planned: seed%plannedSeedInterval == 0, store: standin.NewStore(), recorder: newRecorder(), tablesVersion: 1,
-	}
-	storeServer := httptest.NewServer(s.store)
-	t.Cleanup(storeServer.Close)
+	s := newEmptySoak(t)
+	s.rng, s.planned = rand.New(rand.NewPCG(seed, 77)), seed%plannedSeedInterval == 0
 	var err error
-	s.storeProxy, err = newTCPProxy(freeAddress(t), strings.TrimPrefix(storeServer.URL, "http://"))
+	s.storeProxy, err = newTCPProxy(freeAddress(t), s.storeAddress)
 	require.NoError(t, err)
 	t.Cleanup(s.storeProxy.close)
 	s.writeNextTables()
@@ -167,6 +166,24 @@
 	return s
 }
 
+// newEmptySoak returns a soak with a store and nothing else.
+func newEmptySoak(t *testing.T) *soak {
+	t.Helper()
+	s := &soak{t: t, store: standin.NewStore(), recorder: newRecorder(), tablesVersion: 1}
+	storeServer := httptest.NewServer(s.store)
+	t.Cleanup(storeServer.Close)
+	s.storeAddress = strings.TrimPrefix(storeServer.URL, "http://")
+	return s
+}
+
+// startOnlyHost starts the only entry host and waits until it has the tables.
+func (s *soak) startOnlyHost() {
+	s.hosts = []*host{newHost(s.t, "h0", "a-1", s.storeAddress, func(name string, err error) {
+		s.recorder.addViolation("%s ended by itself: %v", name, err)
+	})}
+	s.awaitTables(waitTimeout, "at the start")
+}
+
 // writeNextTables writes the tables to the store with a higher version.
 func (s *soak) writeNextTables() {
 	s.tablesVersion += 1 + s.rng.IntN(3)
