--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -57,8 +57,7 @@
 	if !x.relay && x.f.cfg.Headers.reportsNotRun(resp) {
 		if !x.refusalIsCertain(resp) {
 			a.abandon()
-			return nil, result.New(result.BadAnswer, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode).
-				WithRun(result.Unknown)
+			return nil, x.doubtfulRefusal(resp)
 		}
 		code := result.ServerShed
 		if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -80,8 +79,7 @@
 		a.readRelayResult()
 		if a.Run == result.NotRun && !x.refusalIsCertain(resp) {
 			a.abandon()
-			return nil, result.New(result.BadAnswer, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode).
-				WithRun(result.Unknown)
+			return nil, x.doubtfulRefusal(resp)
 		}
 	} else {
 		// Only entry hosts report to the caller in these headers.
@@ -114,6 +112,12 @@
 	return false
 }
 
+// doubtfulRefusal returns the error for a refusal that is not certain.
+func (x *exchange) doubtfulRefusal(resp *http.Response) *result.Error {
+	return result.New(result.BadAnswer, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode).
+		WithRun(result.Unknown)
+}
+
 // verify refuses a protocol switch, two heads that run together, and an answer that
 // carries the id of another request, or none on a connection whose earlier answers had
 // ids: it may be a late second copy.
--- a/pkg/forward/header.go
+++ b/pkg/forward/header.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -75,7 +76,7 @@
 func isRunTogether(h http.Header) bool {
 	for _, values := range h {
 		for _, v := range values {
-			if strings.Contains(v, statusLineStart) {
+			if strings.Contains(v, statusLineStart) && statusLine.MatchString(v) {
 				return true
 			}
 		}
@@ -83,7 +84,10 @@
 	return false
 }
 
-// statusLineStart begins the head of every HTTP/1 answer.
+// statusLine matches the line that begins the head of an HTTP/1 answer, which starts
+// with statusLineStart. Other headers may name the protocol, such as Via.
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}( |$)`)
+
 const statusLineStart = "HTTP/1."
 
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -23,8 +23,9 @@
 }
 
 // get returns an idle connection whose last answer is at most maxAge old and on which
-// the request with the given id was not refused before, or a new connection. Idle connections count towards the connection limit, so the
-// oldest of them is closed if a new connection needs its place.
+// the request with the given id was not refused before, or a new connection. Idle
+// connections count towards the connection limit, so the oldest of them is closed if a
+// new connection needs its place.
 func (p *pool) get(ctx context.Context, maxAge time.Duration, requestID string) (*conn, error) {
 	for {
 		c := p.takeNewest(maxAge)
--- a/pkg/forward/refusal_test.go
+++ b/pkg/forward/refusal_test.go
@@ -173,6 +173,19 @@
 	}
 }
 
+// Guards against refusing an answer that names the protocol in a header.
+func TestHeadersMayNameTheProtocol(t *testing.T) {
+	bubble(t, Config{}, func(t *testing.T, env *testEnv) {
+		env.script("b", func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = io.WriteString(c, strings.Replace(answerTo("r1"), "Stamp: s", "Via: HTTP/1.1 192.0.2.1, HTTP/1.1 gate", 1))
+		})
+		a, err := env.write("r1")
+		require.Nil(t, err)
+		require.Equal(t, http.StatusOK, a.Status)
+	})
+}
+
 // Guards against an answer that is signed, as only those to requests that ran are, and
 // says nevertheless that the request was not run.
 func TestSignedRefusalIsNotBelieved(t *testing.T) {
--- a/pkg/steer/shutdown_test.go
+++ b/pkg/steer/shutdown_test.go
@@ -186,3 +186,25 @@
 	_, err = c.Read(b)
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a shutdown that waits for its end although only an idle HTTP/2
+// connection is open, on which bytes arrive that are no request.
+func TestShutdownClosesIdleHTTP2Connections(t *testing.T) {
+	h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": answerOK})
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	req, err := http.NewRequest("GET", "http://"+h.self.CallerAddress+"/safe/x", nil)
+	require.NoError(t, err)
+	req.Host = "a.example"
+	req.Header.Set("Req-Id", "1")
+	resp, err := transport.RoundTrip(req)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, 2, resp.ProtoMajor)
+	began := time.Now()
+	require.NoError(t, h.Shutdown(context.Background()))
+	require.Less(t, time.Since(began), 5*time.Second)
+}
