--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -105,6 +105,11 @@
 // sendRequest sends one request and checks that a successful answer is the
 // complete answer to it.
 func (s *soak) sendRequest(transport http.RoundTripper, h *host, nonIdempotent bool, id string) (standin.Answer, error) {
+	return s.sendBody(transport, h, nonIdempotent, id, "")
+}
+
+// sendBody is sendRequest with a body.
+func (s *soak) sendBody(transport http.RoundTripper, h *host, nonIdempotent bool, id, body string) (standin.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	s.recorder.mu.Lock()
@@ -113,6 +118,7 @@
 	// The lengths of the ids give several requests the same affinity key.
 	request := standin.Request{
 		Address: h.callerAddress, Host: "a.example", Method: http.MethodGet, Path: "/safe/", ID: id, Key: strconv.Itoa(len(id) % 7), Deadline: 2 * time.Second,
+		Body: body, Chunked: len(body)%2 == 1,
 	}
 	if nonIdempotent {
 		request.Method, request.Path = http.MethodPut, "/once/"
--- a/test/soak/refusals_test.go
+++ b/test/soak/refusals_test.go
@@ -42,6 +42,8 @@
 	unmarked bool
 	// early refuses before the body has been read.
 	early bool
+	// answerEarly answers a request that runs before the body has been read.
+	answerEarly bool
 	// body is the body of a refusal; of which brokenOff leaves out a part.
 	body      string
 	brokenOff bool
@@ -74,34 +76,37 @@
 func garbage(string) string { return "\x00\x01 not an answer\r\n\r\n" }
 
 var misbehaviours = map[string]misbehaviour{
-	"copy while idle":                  {whenIdle: whole},
-	"copy without id while idle":       {whenIdle: withoutIDLine},
-	"copy while running":               {whenRunning: whole},
-	"copy without id while running":    {whenRunning: withoutIDLine},
-	"refusals without id, copy":        {whenRunning: whole, withoutID: true},
-	"refusals without id, copy idle":   {whenIdle: whole, withoutID: true},
-	"copy cut in a header":             {beforeAnswer: cutInHeader},
-	"copy cut after a header":          {beforeAnswer: cutAfterHeader},
-	"copy without id, cut in a header": {beforeAnswer: func(r string) string { return cutInHeader(withoutIDLine(r)) }},
-	"copy cut after a header, no id":   {beforeAnswer: func(r string) string { return cutAfterHeader(withoutIDLine(r)) }, withoutID: true},
-	"cut while idle":                   {whenIdle: cutAfterHeader},
-	"restarts, copy while running":     {whenRunning: whole, restarts: true},
-	"restarts, copy while idle":        {whenIdle: whole, restarts: true},
-	"restarts, copy without id":        {whenRunning: withoutIDLine, restarts: true},
-	"restarts, no id, copy":            {whenRunning: whole, restarts: true, withoutID: true},
-	"not run first, cut in a header":   {beforeAnswer: cutInHeader, notRunFirst: true},
-	"not run first, cut after it":      {beforeAnswer: cutAfterHeader, notRunFirst: true},
-	"restarts, cut after a header":     {beforeAnswer: cutAfterHeader, notRunFirst: true, restarts: true},
-	"garbage while idle":               {whenIdle: garbage},
-	"garbage while running":            {whenRunning: garbage},
-	"answers lost":                     {loseAnswers: true},
-	"503 after a run":                  {unmarked: true},
-	"refused before the body":          {early: true, whenRunning: whole},
-	"refusals with a body, copy":       {body: "try another one", whenRunning: whole},
-	"refusals with a body, no id":      {body: "try another one", whenRunning: whole, withoutID: true},
-	"copy cut in its body":             {body: "try another one", beforeAnswer: cutInBody, withoutID: true},
-	"copy cut in its body, restarts":   {body: "try another one", beforeAnswer: cutInBody, restarts: true},
-	"refusals cut in their body":       {body: "try another one", whenRunning: whole, brokenOff: true},
+	"copy while idle":                   {whenIdle: whole},
+	"copy without id while idle":        {whenIdle: withoutIDLine},
+	"copy while running":                {whenRunning: whole},
+	"copy without id while running":     {whenRunning: withoutIDLine},
+	"refusals without id, copy":         {whenRunning: whole, withoutID: true},
+	"refusals without id, copy idle":    {whenIdle: whole, withoutID: true},
+	"copy cut in a header":              {beforeAnswer: cutInHeader},
+	"copy cut after a header":           {beforeAnswer: cutAfterHeader},
+	"copy without id, cut in a header":  {beforeAnswer: func(r string) string { return cutInHeader(withoutIDLine(r)) }},
+	"copy cut after a header, no id":    {beforeAnswer: func(r string) string { return cutAfterHeader(withoutIDLine(r)) }, withoutID: true},
+	"cut while idle":                    {whenIdle: cutAfterHeader},
+	"restarts, copy while running":      {whenRunning: whole, restarts: true},
+	"restarts, copy while idle":         {whenIdle: whole, restarts: true},
+	"restarts, copy without id":         {whenRunning: withoutIDLine, restarts: true},
+	"restarts, no id, copy":             {whenRunning: whole, restarts: true, withoutID: true},
+	"not run first, cut in a header":    {beforeAnswer: cutInHeader, notRunFirst: true},
+	"not run first, cut after it":       {beforeAnswer: cutAfterHeader, notRunFirst: true},
+	"restarts, cut after a header":      {beforeAnswer: cutAfterHeader, notRunFirst: true, restarts: true},
+	"garbage while idle":                {whenIdle: garbage},
+	"garbage while running":             {whenRunning: garbage},
+	"answers lost":                      {loseAnswers: true},
+	"503 after a run":                   {unmarked: true},
+	"refused before the body":           {early: true, whenRunning: whole},
+	"refused before the body, restarts": {early: true, whenRunning: whole, restarts: true},
+	"refused before the body, no id":    {early: true, whenRunning: whole, withoutID: true},
+	"answered before the body":          {answerEarly: true, whenRunning: whole},
+	"refusals with a body, copy":        {body: "try another one", whenRunning: whole},
+	"refusals with a body, no id":       {body: "try another one", whenRunning: whole, withoutID: true},
+	"copy cut in its body":              {body: "try another one", beforeAnswer: cutInBody, withoutID: true},
+	"copy cut in its body, restarts":    {body: "try another one", beforeAnswer: cutInBody, restarts: true},
+	"refusals cut in their body":        {body: "try another one", whenRunning: whole, brokenOff: true},
 }
 
 // faultyServer is a backend server that refuses some requests, runs the others, and
@@ -159,6 +164,16 @@
 		if refuse && f.early {
 			lastRefusal = f.refusal(id, wrong)
 			_, _ = io.WriteString(c, lastRefusal)
+			time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+		}
+		if f.answerEarly && !refuse {
+			f.recorder.recordRun(id)
+			_, err := io.WriteString(c, f.answer(id, "200 OK"))
+			time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+			if _, readErr := io.Copy(io.Discard, req.Body); err != nil || readErr != nil {
+				return
+			}
+			continue
 		}
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
@@ -185,8 +200,7 @@
 			if f.unmarked && rand.IntN(3) == 0 {
 				status = "503 Service Unavailable"
 			}
-			text += fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n\r\n%s",
-				status, len(standin.Body(id)), id, *f.id.Load(), id, standin.Body(id))
+			text += f.answer(id, status)
 		}
 		if _, err := io.WriteString(c, text); err != nil {
 			return
@@ -198,6 +212,12 @@
 	}
 }
 
+// answer is the text of the answer to a request that ran.
+func (f *faultyServer) answer(id, status string) string {
+	body := standin.Body(id)
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n\r\n%s", status, len(body), id, *f.id.Load(), id, body)
+}
+
 // refusal is the text of a refusal.
 func (f *faultyServer) refusal(id string, wrong bool) string {
 	status := "503 Service Unavailable"
@@ -273,6 +293,10 @@
 	return func() { close(done) }
 }
 
+// bodySizes are the sizes of bodies in bytes. Hosts hold up to 32 KiB in memory and pass
+// on the rest as it comes.
+var bodySizes = []int{0, 0, 100, 1001, 40_000, 300_001}
+
 // sendUnsafe sends requests that may not be repeated, and returns the number of answers
 // by status.
 func (s *soak) sendUnsafe(length time.Duration) map[int]int {
@@ -285,7 +309,8 @@
 			defer transport.CloseIdleConnections()
 			for n, until := 0, time.Now().Add(length); time.Now().Before(until); n++ {
 				id := fmt.Sprintf("%d-%d", caller, n)
-				answer, err := s.sendRequest(transport, s.hosts[0], true, id)
+				body := strings.Repeat("b", bodySizes[rand.IntN(len(bodySizes))])
+				answer, err := s.sendBody(transport, s.hosts[0], true, id, body)
 				mu.Lock()
 				statuses[answer.Status]++
 				mu.Unlock()
