--- a/pkg/core/shutdown/shutdown.go
+++ b/pkg/core/shutdown/shutdown.go
@@ -19,9 +19,10 @@
 	// signalMargin is how much earlier than after withdrawPeriod the host begins to
 	// take only requests that end in time, for a signal that was handled late.
 	signalMargin = 200 * time.Millisecond
-	// answerMargin is the time that an answer needs to reach its caller after the
-	// deadline of its request.
-	answerMargin = 150 * time.Millisecond
+	// answerMargin is the time that an answer may need to reach its caller after the
+	// deadline of its request: the server's own answer to the deadline, and the turns
+	// of a host that is short of processor time.
+	answerMargin = 300 * time.Millisecond
 )
 
 // Plan is the schedule of one shutdown.
