--- a/pkg/steer/unread_linux.go
+++ b/pkg/steer/unread_linux.go
@@ -1,3 +1,5 @@
+//go:build amd64 || arm64
+
 package steer
 
 import (
--- a/pkg/steer/unread_other.go
+++ b/pkg/steer/unread_other.go
@@ -1,4 +1,4 @@
-//go:build !linux
+//go:build !linux || !(amd64 || arm64)
 
 package steer
 
