--- a/pkg/steer/unread_other.go
+++ b/pkg/steer/unread_other.go
@@ -5,5 +5,5 @@
 import "net"
 
 // hasUnreadData reports whether data waits to be read from the connection. Elsewhere
-// than on Linux it is not known, and the connection is taken for idle.
+// than on Linux with 64 bits it is not known, and the connection is taken for idle.
 func hasUnreadData(net.Conn) bool { return false }
