--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -112,10 +112,33 @@
 	return false
 }
 
-// doubtfulRefusal returns the error for a refusal that is not certain.
+// Doubt is why an answer was not taken for the answer to its request.
+type Doubt string
+
+const (
+	// DoubtOtherID means that the answer has the id of another request.
+	DoubtOtherID Doubt = "other-id"
+	// DoubtNoID means that it has no id, on a connection whose earlier answers had ids.
+	DoubtNoID Doubt = "no-id"
+	// DoubtRunTogether means that its head contains the beginning of another answer.
+	DoubtRunTogether Doubt = "run-together"
+	// DoubtRefusal means that it says "not run" and may be the refusal of another
+	// request.
+	DoubtRefusal Doubt = "refusal"
+)
+
+// doubt reports an answer that was not taken for the answer to the request, and returns
+// the error for it: whether the request ran is unknown.
+func (x *exchange) doubt(reason Doubt, format string, args ...any) *result.Error {
+	if x.f.cfg.OnDoubt != nil {
+		x.f.cfg.OnDoubt(reason)
+	}
+	return result.New(result.BadAnswer, format, args...).WithRun(result.Unknown)
+}
+
+// doubtfulRefusal reports a refusal that is not certain.
 func (x *exchange) doubtfulRefusal(resp *http.Response) *result.Error {
-	return result.New(result.BadAnswer, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode).
-		WithRun(result.Unknown)
+	return x.doubt(DoubtRefusal, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode)
 }
 
 // verify refuses a protocol switch, two heads that run together, and an answer that
@@ -123,20 +146,19 @@
 // ids: it may be a late second copy.
 func (x *exchange) verify(resp *http.Response) *result.Error {
 	if isRunTogether(resp.Header) {
-		return result.New(result.BadAnswer, "%s began another answer within the head of one", x.req.Server).WithRun(result.Unknown)
+		return x.doubt(DoubtRunTogether, "%s began another answer within the head of one", x.req.Server)
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return result.New(result.BadAnswer, "%s switched protocols", x.req.Server).WithRun(result.Unknown)
 	}
 	ids := resp.Header[x.f.cfg.Headers.RequestID]
 	if len(ids) == 0 && x.conn.echoesID {
-		return result.New(result.BadAnswer, "%s sent an answer without the id of a request", x.req.Server).WithRun(result.Unknown)
+		return x.doubt(DoubtNoID, "%s sent an answer without the id of a request", x.req.Server)
 	}
 	x.conn.echoesID = len(ids) > 0
 	for _, id := range ids {
 		if id != x.req.RequestID {
-			return result.New(result.BadAnswer, "%s answered request %.64q instead of %q", x.req.Server, id, x.req.RequestID).
-				WithRun(result.Unknown)
+			return x.doubt(DoubtOtherID, "%s answered request %.64q instead of %q", x.req.Server, id, x.req.RequestID)
 		}
 	}
 	return nil
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -65,6 +65,9 @@
 	// Headers names the headers that are exchanged with servers; default
 	// DefaultHeaders.
 	Headers Headers
+	// OnDoubt, if set, is called for each answer that was not taken for the answer to
+	// its request, from the goroutine that sent the request.
+	OnDoubt func(Doubt)
 	// Now is the clock; default time.Now.
 	Now func() time.Time
 	// Dial opens connections; default a net.Dialer with keep-alive probes and
--- a/pkg/forward/refusal_test.go
+++ b/pkg/forward/refusal_test.go
@@ -173,6 +173,42 @@
 	}
 }
 
+// Guards against an answer that is not taken for that of its request and of which the
+// operators see nothing, or the wrong reason.
+func TestDoubtsAreReported(t *testing.T) {
+	for want, text := range map[Doubt]string{
+		DoubtOtherID:     answerTo("r0"),
+		DoubtNoID:        strings.Replace(answerTo("r1"), HeaderRequestID+": r1\r\n", "", 1),
+		DoubtRunTogether: "HTTP/1.1 503 S\r\nDate: Sat" + answerTo("r1"),
+		DoubtRefusal:     strings.Replace(refusalOf("r1"), "Content", "Stamp: s\r\nContent", 1),
+	} {
+		t.Run(string(want), func(t *testing.T) {
+			var got []Doubt
+			bubble(t, Config{Headers: signedHeaders(), OnDoubt: func(d Doubt) { got = append(got, d) }}, func(t *testing.T, env *testEnv) {
+				env.script("b", func(_ int, c net.Conn, r *bufio.Reader) {
+					for n := 0; ; n++ {
+						req, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, req.Body)
+						if n == 0 {
+							_, _ = io.WriteString(c, answerTo("first"))
+							continue
+						}
+						_, _ = io.WriteString(c, text)
+					}
+				})
+				_, err := env.write("first")
+				require.Nil(t, err)
+				_, err = env.write("r1")
+				env.requireError(result.BadAnswer, result.Unknown, err)
+				require.Equal(t, []Doubt{want}, got)
+			})
+		})
+	}
+}
+
 // Guards against refusing an answer that names the protocol in a header.
 func TestHeadersMayNameTheProtocol(t *testing.T) {
 	bubble(t, Config{}, func(t *testing.T, env *testEnv) {
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -108,8 +108,11 @@
 		},
 		hostsReadRequested: make(chan struct{}, 1), guard: overload.New(cfg.Limits.Lateness.Std()),
 		feeds: newStoreFeeds(time.Now()), registry: registry.New(time.Now()), pools: map[string]*pool{},
-		forward: forward.New(forward.Config{Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdleTimeout}),
 	}
+	h.forward = forward.New(forward.Config{
+		Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdleTimeout,
+		OnDoubt: func(reason forward.Doubt) { h.metrics.doubts.WithLabelValues(string(reason)).Inc() },
+	})
 	h.settings.Store(cfg)
 	h.self.Capacity = cfg.Limits.CPUShare * cfg.Limits.Cores
 	h.peers = newPeers(h.self)
--- a/pkg/steer/metrics.go
+++ b/pkg/steer/metrics.go
@@ -22,6 +22,7 @@
 	malformedMessages  prometheus.Counter
 	panics             *prometheus.CounterVec
 	unsolicitedAnswers prometheus.Counter
+	doubts             *prometheus.CounterVec
 	notices            *prometheus.CounterVec
 	unreadable         *prometheus.GaugeVec
 }
@@ -63,6 +64,9 @@
 	m.unsolicitedAnswers = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tamarackswitch_steer_unsolicited_answers_total", Help: "Answers that backend servers sent on idle connections.",
 	})
+	m.doubts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_doubtful_answers_total", Help: "Answers of backend servers that were not taken for the answer to their request, by reason.",
+	}, []string{"reason"})
 	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tamarackswitch_steer_server_notices_total", Help: "Answers in which a backend server said that it leaves, or that it wants no requests from this host for a time.",
 	}, []string{"notice"})
@@ -83,7 +87,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.notices, m.unreadable, held, late, version)
+	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.doubts, m.notices, m.unreadable, held, late, version)
 	h.log.dropped = m.logDropped
 	return m
 }
