--- a/test/soak/refusals_test.go
+++ b/test/soak/refusals_test.go
@@ -160,56 +160,72 @@
 		}
 		id := req.Header.Get("X-Request-Id")
 		wrong := req.Header.Get("X-Expect-Instance") != *f.id.Load()
-		refuse := wrong || rand.IntN(3) == 0
-		if refuse && f.early {
+		ok := false
+		if wrong || rand.IntN(3) == 0 {
 			lastRefusal = f.refusal(id, wrong)
-			_, _ = io.WriteString(c, lastRefusal)
-			time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+			ok = f.refuse(c, req, lastRefusal)
+		} else {
+			ok = f.run(c, req, id, lastRefusal)
 		}
-		if f.answerEarly && !refuse {
-			f.recorder.recordRun(id)
-			_, err := io.WriteString(c, f.answer(id, "200 OK"))
-			time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
-			if _, readErr := io.Copy(io.Discard, req.Body); err != nil || readErr != nil {
-				return
-			}
-			continue
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		if !ok {
 			return
 		}
-		text := ""
-		switch {
-		case refuse && f.early:
-		case refuse:
-			lastRefusal = f.refusal(id, wrong)
-			text = lastRefusal
-		default:
-			f.recorder.recordRun(id)
-			if lastRefusal != "" && f.whenRunning != nil {
-				_, _ = io.WriteString(c, f.whenRunning(lastRefusal))
-			}
-			time.Sleep(time.Duration(rand.IntN(15)) * time.Millisecond)
-			if lastRefusal != "" && f.beforeAnswer != nil {
-				text = f.beforeAnswer(lastRefusal)
-			}
-			if f.loseAnswers && rand.IntN(3) == 0 {
-				return
-			}
-			status := "200 OK"
-			if f.unmarked && rand.IntN(3) == 0 {
-				status = "503 Service Unavailable"
-			}
-			text += f.answer(id, status)
-		}
-		if _, err := io.WriteString(c, text); err != nil {
-			return
-		}
-		if refuse && f.whenIdle != nil {
-			time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
-			_, _ = io.WriteString(c, f.whenIdle(lastRefusal))
+	}
+}
+
+// refuse writes a refusal and what the server adds to it, and reads the body of the
+// request. It reports whether the connection goes on.
+func (f *faultyServer) refuse(c net.Conn, req *http.Request, refusal string) bool {
+	if f.early {
+		_, _ = io.WriteString(c, refusal)
+		time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return false
+	}
+	if !f.early {
+		if _, err := io.WriteString(c, refusal); err != nil {
+			return false
 		}
 	}
+	if f.whenIdle != nil {
+		time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
+		_, _ = io.WriteString(c, f.whenIdle(refusal))
+	}
+	return true
+}
+
+// run runs a request and answers it, with what the server adds to the answer if it has
+// refused a request on the connection before. It reports whether the connection goes on.
+func (f *faultyServer) run(c net.Conn, req *http.Request, id, lastRefusal string) bool {
+	if f.answerEarly {
+		f.recorder.recordRun(id)
+		_, err := io.WriteString(c, f.answer(id, "200 OK"))
+		time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+		_, readErr := io.Copy(io.Discard, req.Body)
+		return err == nil && readErr == nil
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return false
+	}
+	f.recorder.recordRun(id)
+	if lastRefusal != "" && f.whenRunning != nil {
+		_, _ = io.WriteString(c, f.whenRunning(lastRefusal))
+	}
+	time.Sleep(time.Duration(rand.IntN(15)) * time.Millisecond)
+	if f.loseAnswers && rand.IntN(3) == 0 {
+		return false
+	}
+	status := "200 OK"
+	if f.unmarked && rand.IntN(3) == 0 {
+		status = "503 Service Unavailable"
+	}
+	text := f.answer(id, status)
+	if lastRefusal != "" && f.beforeAnswer != nil {
+		text = f.beforeAnswer(lastRefusal) + text
+	}
+	_, err := io.WriteString(c, text)
+	return err == nil
 }
 
 // answer is the text of the answer to a request that ran.
