Log and count why a refusal was believed

Callers were told "not run" for requests that ran, and no line told apart a refusal that belonged to another request, a copy of one, and a request of which nothing had been sent.

A failed send now logs its connection, how many answers that had carried, the bytes written and what a refusal was believed for; the line of a request has the version of the tables at its end if it changed. tamarackswitch_steer_server_refusals_total counts refusals by basis.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -64,6 +64,7 @@
 			code = result.WrongServer
 		}
 		err := result.New(code, "%s refused the request with status %d", x.req.Server, resp.StatusCode).WithRetryAfter(retryAfter(resp.Header))
+		x.traceRefusal(resp)
 		if x.req.Once {
 			x.conn.refused = append(x.conn.refused, x.req.RequestID)
 		}
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -105,7 +105,10 @@
 	raw    *rawConn
 	cc     *http.ClientConn
 	pool   *pool
+	id     int64
 	reused bool // an earlier exchange was completed on it
+	// answers is the number of answers that were read to their end on it.
+	answers int
 	// echoesID is set once an answer on it carried the id of its request.
 	echoesID bool
 	// refused holds the ids of the writes that were refused on it. The server may send
@@ -148,6 +151,7 @@
 	c.raw.attempt.Store(nil)
 	c.lastAnswer = c.pool.f.now()
 	c.reused = true
+	c.answers++
 	c.pool.put(c)
 }
 
@@ -164,7 +168,7 @@
 
 // dial opens a connection to the server of p.
 func (f *Forwarder) dial(ctx context.Context, p *pool) (*conn, error) {
-	c, start := &conn{pool: p}, f.now()
+	c, start := &conn{pool: p, id: f.lastConnID.Add(1)}, f.now()
 	cc, err := f.transport.NewClientConn(context.WithValue(ctx, connContextKey{}, c), "http", p.addr)
 	if err != nil {
 		return nil, err
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -82,6 +82,8 @@
 	transport *http.Transport
 	stopped   atomic.Bool
 	idleLimit learnedIdleLimit
+	// lastConnID is the id of the connection that was opened last.
+	lastConnID atomic.Int64
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -161,6 +163,8 @@
 	// Notice, if set, receives what the server said of itself in the answer to
 	// this request, also if Do returns an error.
 	Notice *Notice
+	// Trace, if set, receives what happened on the connection.
+	Trace *Trace
 }
 
 // pool returns the connection pool of the server at addr and creates it if
@@ -200,6 +204,8 @@
 	// byte was written.
 	connLostCode result.Code
 	relay        bool
+	// writtenBefore is the number of bytes that were written to conn before.
+	writtenBefore int64
 }
 
 func (f *Forwarder) do(ctx context.Context, x *exchange) (*Answer, *result.Error) {
@@ -207,6 +213,9 @@
 		return nil, result.New(result.MethodNotAllowed, "CONNECT is not forwarded")
 	}
 	x.start = f.now()
+	if x.req.Trace != nil {
+		*x.req.Trace = Trace{}
+	}
 	x.deriveContext(ctx)
 	if err := x.openBody(); err != nil {
 		x.cancel()
@@ -276,6 +285,7 @@
 		return nil, x.failure(err), false
 	}
 	x.conn = c
+	x.beginTrace()
 	if x.req.Once && c.reused {
 		last := c.lastAnswer
 		x.curAttempt.connFresh = func() bool { return age(x.f.now(), last) <= WriteFreshness }
@@ -283,6 +293,7 @@
 	c.raw.attempt.Store(x.curAttempt)
 	received, sentAt := c.raw.received.Load(), x.f.now()
 	resp, err := c.cc.RoundTrip(x.outbound())
+	x.traceWritten()
 	if err == nil {
 		a, rerr := x.handleResponse(resp)
 		return a, rerr, false
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -199,6 +199,9 @@
 	e = e.Str("id", x.requestID).Int("status", status).Int64("ms", time.Since(x.started).Milliseconds())
 	if x.table != nil {
 		e = e.Int64("version", x.table.Version)
+		if x.latestVersion != x.table.Version {
+			e = e.Int64("version_at_end", x.latestVersion)
+		}
 	}
 	if x.route != nil {
 		e = e.Str("route", x.route.Name).Str("key", x.need.Key).Int64("wait_ms", x.waited.Milliseconds()).Int("attempts", x.attempts)
@@ -218,12 +221,16 @@
 	e.Msg("request")
 }
 
-// attempt logs an attempt that failed.
+// attempt logs an attempt that failed, with what happened on its connection.
 func (l *eventLog) attempt(x *exchange, took time.Duration, err *result.Error) {
 	if !l.allow() {
 		return
 	}
 	e := l.Info().Str("id", x.requestID).Int("attempt", x.attempts).Int64("took_ms", took.Milliseconds())
+	e = e.Int64("conn", x.trace.Conn).Int("conn_answers", x.trace.EarlierAnswers).Int64("written", x.trace.Written)
+	if x.trace.Basis != "" {
+		e = e.Str("basis", string(x.trace.Basis))
+	}
 	withServer(e, x).Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error()).Msg("send failed")
 }
 
--- a/pkg/steer/metrics.go
+++ b/pkg/steer/metrics.go
@@ -23,6 +23,7 @@
 	panics             *prometheus.CounterVec
 	unsolicitedAnswers prometheus.Counter
 	doubts             *prometheus.CounterVec
+	refusals           *prometheus.CounterVec
 	notices            *prometheus.CounterVec
 	unreadable         *prometheus.GaugeVec
 }
@@ -67,6 +68,9 @@
 	m.doubts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tamarackswitch_steer_doubtful_answers_total", Help: "Answers of backend servers that were not taken for the answer to their request, by reason.",
 	}, []string{"reason"})
+	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_server_refusals_total", Help: "Answers that were believed to say that a backend server did not run the request, by what they were believed for.",
+	}, []string{"basis"})
 	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tamarackswitch_steer_server_notices_total", Help: "Answers in which a backend server said that it leaves, or that it wants no requests from this host for a time.",
 	}, []string{"notice"})
@@ -87,7 +91,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.doubts, m.notices, m.unreadable, held, late, version)
+	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.doubts, m.refusals, m.notices, m.unreadable, held, late, version)
 	h.log.dropped = m.logDropped
 	return m
 }
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -36,6 +36,8 @@
 	requestID     string
 	started       time.Time
 	table         *fleet.Table
+	// latestVersion is the version of the tables in force when the request ended.
+	latestVersion int64
 	route         *fleet.Route
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
@@ -44,7 +46,8 @@
 	body     *forward.Body
 
 	reservation reservation
-	attempts    int // sends to backend servers
+	attempts    int           // sends to backend servers
+	trace       forward.Trace // of the last send
 	// waited is the time spent waiting for slots, summed over all attempts.
 	waited time.Duration
 	// mayHaveRun is set once a failed attempt may have run the request.
@@ -58,6 +61,9 @@
 	h.held.Add(1)
 	defer h.held.Add(-1)
 	answer, err := h.handle(x)
+	if t := h.table.Load(); t != nil {
+		x.latestVersion = t.Version
+	}
 	if h.leaving.Load() {
 		// Also on answers to requests that were read before the shutdown began: the
 		// caller opens its next connection to another host.
@@ -232,7 +238,7 @@
 	answer, err := h.forward.Do(x.callerRequest.Context(), forward.Request{
 		In: x.callerRequest, Server: x.reservation.choice.Server.Address, Once: !x.route.Idempotent, Idempotent: x.route.Idempotent,
 		RequestID: x.requestID, ExpectServer: x.reservation.choice.Server.ID, DeadlineAt: x.deadline, AnswerSlack: deadlineAnswerSlack, Body: x.body,
-		Notice: &notice,
+		Notice: &notice, Trace: &x.trace,
 	})
 	took := time.Since(sent)
 	completion := h.completionOf(answer, err, took)
@@ -240,6 +246,9 @@
 	h.recordNotice(x, completion.Notice)
 	h.release(x.pool, x.reservation, x.need, completion)
 	h.metrics.sends.WithLabelValues(x.route.Name, codeName(err)).Inc()
+	if x.trace.Basis != "" {
+		h.metrics.refusals.WithLabelValues(string(x.trace.Basis)).Inc()
+	}
 	if err != nil {
 		h.log.attempt(x, took, err)
 		return nil, err
