Do not mix the status of an earlier answer with the next one

What callers saw: "not run" for requests that ran, and answers with a status that no server gave, from servers that wrote a part of an earlier answer before the next one on a kept connection.

Cause: net/http takes the rest of a status line for the reason phrase. A server that breaks off in "HTTP/1.1 421 Mis" and goes on with "HTTP/1.1 500 ..." sends one head with the status of the first answer and the id of the second one. The check for heads that run together looked at headers only, and a 421 was believed by its status alone.

Change: the reason phrase is checked as well. A second status line can only be there, in a header's value, or where it makes the head malformed. A 421 without the mark has to name another server than the expected one, which it does on the platform; one without either has an unknown outcome. A status below 200, with which net/http would panic, is a bad answer. What decides whether an answer is believed stands in one file now.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -55,7 +55,8 @@
 		*x.req.Notice = x.f.cfg.Headers.notice(resp)
 	}
 	if !x.relay && x.f.cfg.Headers.reportsNotRun(resp) {
-		if !x.refusalIsCertain(resp) {
+		basis := x.refusalBasis(resp)
+		if basis == "" {
 			a.abandon()
 			return nil, x.doubtfulRefusal(resp)
 		}
@@ -64,11 +65,13 @@
 			code = result.WrongServer
 		}
 		err := result.New(code, "%s refused the request with status %d", x.req.Server, resp.StatusCode).WithRetryAfter(retryAfter(resp.Header))
-		x.traceRefusal(resp)
+		if x.req.Trace != nil {
+			x.req.Trace.Basis = basis
+		}
 		if x.req.Once {
 			x.conn.refused = append(x.conn.refused, x.req.RequestID)
 		}
-		if len(resp.Header[x.f.cfg.Headers.RequestID]) == 0 {
+		if basis == BasisFirst {
 			a.abandon() // a copy could not be recognised
 			return nil, err
 		}
@@ -78,7 +81,7 @@
 	removeHopByHop(a.Header)
 	if x.relay {
 		a.readRelayResult()
-		if a.Run == result.NotRun && !x.refusalIsCertain(resp) {
+		if a.Run == result.NotRun && x.refusalBasis(resp) == "" {
 			a.abandon()
 			return nil, x.doubtfulRefusal(resp)
 		}
@@ -94,77 +97,6 @@
 	return a, nil
 }
 
-// refusalIsCertain reports whether an answer that says "not run" is the server's answer
-// to this request. A faulty server may send an earlier refusal once more on a kept
-// connection, whole or broken off. A refusal is certain if it has the id of this request,
-// as verify has checked, and no sign of a run; without an id only if it is the first
-// answer on its connection.
-func (x *exchange) refusalIsCertain(resp *http.Response) bool {
-	names := x.f.cfg.Headers
-	if names.Stamp != "" && len(resp.Header[names.Stamp]) > 0 {
-		return false
-	}
-	switch ids := resp.Header[names.RequestID]; len(ids) {
-	case 0:
-		return !x.conn.reused
-	case 1:
-		return x.req.RequestID != "" || !x.conn.reused
-	}
-	return false
-}
-
-// Doubt is why an answer was not taken for the answer to its request.
-type Doubt string
-
-const (
-	// DoubtOtherID means that the answer has the id of another request.
-	DoubtOtherID Doubt = "other-id"
-	// DoubtNoID means that it has no id, on a connection whose earlier answers had ids.
-	DoubtNoID Doubt = "no-id"
-	// DoubtRunTogether means that its head contains the beginning of another answer.
-	DoubtRunTogether Doubt = "run-together"
-	// DoubtRefusal means that it says "not run" and may be the refusal of another
-	// request.
-	DoubtRefusal Doubt = "refusal"
-)
-
-// doubt reports an answer that was not taken for the answer to the request, and returns
-// the error for it: whether the request ran is unknown.
-func (x *exchange) doubt(reason Doubt, format string, args ...any) *result.Error {
-	if x.f.cfg.OnDoubt != nil {
-		x.f.cfg.OnDoubt(reason)
-	}
-	return result.New(result.BadAnswer, format, args...).WithRun(result.Unknown)
-}
-
-// doubtfulRefusal reports a refusal that is not certain.
-func (x *exchange) doubtfulRefusal(resp *http.Response) *result.Error {
-	return x.doubt(DoubtRefusal, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode)
-}
-
-// verify refuses a protocol switch, two heads that run together, and an answer that
-// carries the id of another request, or none on a connection whose earlier answers had
-// ids: it may be a late second copy.
-func (x *exchange) verify(resp *http.Response) *result.Error {
-	if isRunTogether(resp.Header) {
-		return x.doubt(DoubtRunTogether, "%s began another answer within the head of one", x.req.Server)
-	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return result.New(result.BadAnswer, "%s switched protocols", x.req.Server).WithRun(result.Unknown)
-	}
-	ids := resp.Header[x.f.cfg.Headers.RequestID]
-	if len(ids) == 0 && x.conn.echoesID {
-		return x.doubt(DoubtNoID, "%s sent an answer without the id of a request", x.req.Server)
-	}
-	x.conn.echoesID = len(ids) > 0
-	for _, id := range ids {
-		if id != x.req.RequestID {
-			return x.doubt(DoubtOtherID, "%s answered request %.64q instead of %q", x.req.Server, id, x.req.RequestID)
-		}
-	}
-	return nil
-}
-
 // maxRetryAfter bounds the delay that a Retry-After header can ask for. A server
 // that wants more is asked again after this time.
 const maxRetryAfter = 10 * time.Minute
--- a/pkg/forward/header.go
+++ b/pkg/forward/header.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"net/textproto"
-	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -40,6 +39,9 @@
 	// ExpectServer, if set, names the header with the id of the only server
 	// that may run the request; any other server answers 421.
 	ExpectServer string
+	// ServerID, if set, names the header in which a server gives its id in an answer with
+	// status 421.
+	ServerID string
 	// Stamp, if set, names the header by which a server signs the answer to a request
 	// that it ran.
 	Stamp string
@@ -57,39 +59,6 @@
 	RequestID: HeaderRequestID, Deadline: HeaderDeadline, NotRun: HeaderRun, NotRunValue: string(result.NotRun), Forwarded: true,
 }
 
-// reportsNotRun reports whether an answer says that the request was not run. It does
-// not tell whether that may be believed, see refusalIsCertain.
-func (n Headers) reportsNotRun(resp *http.Response) bool {
-	if n.ExpectServer != "" && resp.StatusCode == http.StatusMisdirectedRequest {
-		return true
-	}
-	value := resp.Header.Get(n.NotRun)
-	if n.NotRunValue != "" {
-		return resp.StatusCode == http.StatusServiceUnavailable && value == n.NotRunValue
-	}
-	return value != "" && resp.StatusCode >= http.StatusBadRequest
-}
-
-// isRunTogether reports whether the head of an answer contains the beginning of another
-// one: a server that breaks off a head, keeps the connection and goes on with the next
-// answer makes one head of both, with the status of the first one.
-func isRunTogether(h http.Header) bool {
-	for _, values := range h {
-		for _, v := range values {
-			if strings.Contains(v, statusLineStart) && statusLine.MatchString(v) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// statusLine matches the line that begins the head of an HTTP/1 answer, which starts
-// with statusLineStart. Other headers may name the protocol, such as Via.
-var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}( |$)`)
-
-const statusLineStart = "HTTP/1."
-
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
--- a/pkg/forward/parts_test.go
+++ b/pkg/forward/parts_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -65,7 +67,7 @@
 func wireHeaders() Headers {
 	return Headers{
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", NotRun: "X-Not-Executed", ExpectServer: "X-Expect-Instance",
-		Stamp: "X-Server-Stamp",
+		ServerID: "X-Instance-Id", Stamp: "X-Server-Stamp",
 	}
 }
 
@@ -83,6 +85,8 @@
 // that ran, or a status or body that the server did not give to it. All parts that begin
 // or end with the earlier answer are tried.
 func TestPartOfAnEarlierAnswer(t *testing.T) {
+	log.SetOutput(io.Discard) // net/http writes a line for each part on an idle connection
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
 	for earlierName, earlier := range wireAnswers {
 		for nextName, next := range wireAnswers {
 			t.Run(earlierName+" before "+nextName, func(t *testing.T) {
--- a/pkg/forward/trace.go
+++ b/pkg/forward/trace.go
@@ -1,7 +1,5 @@
 package forward
 
-import "net/http"
-
 // Trace says what happened to a request on its connection, for logs. Do fills it in, also
 // if it fails. If a connection turned out to be unusable before anything was sent, it
 // describes the next one.
@@ -16,20 +14,6 @@
 	Basis Basis
 }
 
-// Basis is why an answer was believed to say that its request was not run.
-type Basis string
-
-const (
-	// BasisMarked means that the answer has the id of the request and the header that
-	// Headers.NotRun names.
-	BasisMarked Basis = "marked"
-	// BasisOtherServer means that it has the id of the request, and its status says that
-	// it comes from another server than the expected one.
-	BasisOtherServer Basis = "other-server"
-	// BasisFirst means that it has no id and is the first answer on its connection.
-	BasisFirst Basis = "first-on-connection"
-)
-
 // beginTrace notes the connection of an attempt.
 func (x *exchange) beginTrace() {
 	if t := x.req.Trace; t != nil {
@@ -44,20 +28,3 @@
 		t.Written = x.conn.raw.written.Load() - x.writtenBefore
 	}
 }
-
-// traceRefusal notes why a refusal was believed.
-func (x *exchange) traceRefusal(resp *http.Response) {
-	t := x.req.Trace
-	if t == nil {
-		return
-	}
-	names := x.f.cfg.Headers
-	switch {
-	case len(resp.Header[names.RequestID]) == 0:
-		t.Basis = BasisFirst
-	case resp.Header.Get(names.NotRun) != "":
-		t.Basis = BasisMarked
-	default:
-		t.Basis = BasisOtherServer
-	}
-}
