Close a connection after an answer without an id

What callers saw: a write that met a copy of an earlier answer without an id got that as its own, with a status or body that no server gave to it.

Cause: an answer without an id was refused only on a connection whose last answer had one. On a connection that began with one without it, each copy passed.

Change: where all servers repeat the id, as on the platform, a connection is closed after an answer without it. Such an answer can then only be the first one on its connection, before which nothing can have been written.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -142,9 +142,11 @@
 func (c *conn) hasRefused(id string) bool { return slices.Contains(c.refused, id) }
 
 // release returns the connection to its pool if the answer was read to its end
-// and the connection can carry another request. Otherwise it closes it.
+// and the connection can carry another request. Otherwise it closes it. A copy of an answer
+// without an id could not be told from the next one.
 func (c *conn) release(complete bool) {
-	if !complete || c.cc.Err() != nil || c.cc.Available() != 1 || len(c.refused) >= maxRefusedWrites {
+	unnamed := c.pool.f.cfg.Headers.ServersEchoID && !c.echoesID
+	if !complete || unnamed || c.cc.Err() != nil || c.cc.Available() != 1 || len(c.refused) >= maxRefusedWrites {
 		c.close()
 		return
 	}
--- a/pkg/forward/header.go
+++ b/pkg/forward/header.go
@@ -48,6 +48,9 @@
 	// Leaving, if set, names the header that a server sends with the value
 	// LeavingValue once it is about to end.
 	Leaving, LeavingValue string
+	// ServersEchoID means that all servers repeat RequestID in their answers, so that one
+	// without it may be an answer to another request.
+	ServersEchoID bool
 	// Forwarded enables adding the caller's address to the headers
 	// X-Forwarded-For and Forwarded.
 	Forwarded bool
--- a/pkg/forward/parts_test.go
+++ b/pkg/forward/parts_test.go
@@ -67,7 +67,7 @@
 func wireHeaders() Headers {
 	return Headers{
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", NotRun: "X-Not-Executed", ExpectServer: "X-Expect-Instance",
-		ServerID: "X-Instance-Id", Stamp: "X-Server-Stamp",
+		ServerID: "X-Instance-Id", ServersEchoID: true, Stamp: "X-Server-Stamp",
 	}
 }
 
