Ask the tables in force before a request runs again

What callers could see: a write that ran twice, or a 503 for one that ran. Found when every source of "not run" was gone through.

Cause: whether a request may run more than once was read once, from the version of the tables in force when it arrived. If the operator had withdrawn that by the time its server failed, for the route or for a longer prefix, it was sent to another server all the same, and a server's own 503 was passed on.

Change: a request runs again only if the tables at its arrival and those in force now both allow it; that is asked after each answer and right before the first byte of a repeat. A route that is gone says nothing.

--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -38,6 +38,7 @@
 	table         *fleet.Table
 	// latestVersion is the version of the tables in force when the request ended.
 	latestVersion int64
+	host          string // without the port
 	route         *fleet.Route
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
@@ -117,6 +118,7 @@
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
+	x.host = host
 	if x.route = x.table.Match(host, x.callerRequest.URL.Path); x.route == nil {
 		return result.New(result.NoRoute, "no route of table version %d matches %q", x.table.Version, host+x.callerRequest.URL.Path)
 	}
@@ -189,9 +191,20 @@
 	return nil
 }
 
+// mayRunAgain reports whether the request may run more than once: both by the tables in
+// force when it arrived and by those in force now. Operators may have withdrawn that
+// meanwhile. A route that is gone says nothing, so that the earlier version still holds.
+func (h *Host) mayRunAgain(x *exchange) bool {
+	latest := h.table.Load()
+	if !x.route.Idempotent || latest == x.table {
+		return x.route.Idempotent
+	}
+	route := latest.Match(x.host, x.callerRequest.URL.Path)
+	return route == nil || route.Idempotent
+}
+
 // send reserves a slot and forwards the request. It retries at another server if
-// the first one did not run the request, or if it failed and the route is
-// idempotent.
+// the first one did not run the request, or if it failed and the request may run again.
 func (h *Host) send(x *exchange) (*forward.Answer, *result.Error) {
 	x.pool.countRequest(x.need, h.peers.count())
 	var previousErr *result.Error // of the previous attempt
@@ -203,17 +216,18 @@
 		}
 		x.reservation = reserved
 		answer, err := h.attempt(x)
-		if err == nil && !x.route.Idempotent && promisesNotRun(answer.Status) {
+		mayRunAgain := h.mayRunAgain(x)
+		if err == nil && !mayRunAgain && promisesNotRun(answer.Status) {
 			// The server did not mark the answer as not run, so it ran the request. Its
 			// status would tell the caller that the request was not run.
 			answer.Close()
 			return nil, result.New(result.BadAnswer, "server %s answered with status %d although it ran the request", reserved.choice.Server.ID, answer.Status).
 				WithRun(result.Run)
 		}
-		if err == nil && !h.isRetryableAnswer(x, answer) {
+		if err == nil && !(mayRunAgain && answer.Status >= http.StatusInternalServerError) {
 			return answer, nil
 		}
-		if !h.mayRetry(x, err) {
+		if !h.mayRetry(x, err, mayRunAgain) {
 			if err == nil {
 				return answer, nil
 			}
@@ -235,10 +249,13 @@
 	x.attempts++
 	sent := time.Now()
 	var notice forward.Notice
+	mayRunAgain := h.mayRunAgain(x)
 	answer, err := h.forward.Do(x.callerRequest.Context(), forward.Request{
-		In: x.callerRequest, Server: x.reservation.choice.Server.Address, Once: !x.route.Idempotent, Idempotent: x.route.Idempotent,
+		In: x.callerRequest, Server: x.reservation.choice.Server.Address, Once: !mayRunAgain, Idempotent: mayRunAgain,
 		RequestID: x.requestID, ExpectServer: x.reservation.choice.Server.ID, DeadlineAt: x.deadline, AnswerSlack: deadlineAnswerSlack, Body: x.body,
 		Notice: &notice, Trace: &x.trace,
+		// The tables may have changed while the request waited for a slot.
+		Valid: func() bool { return !x.mayHaveRun || h.mayRunAgain(x) },
 	})
 	took := time.Since(sent)
 	completion := h.completionOf(answer, err, took)
@@ -309,23 +326,17 @@
 	return running, waiting, workPercent, true
 }
 
-// isRetryableAnswer reports whether the answer is a server error and the route is
-// idempotent, so that another server may answer instead.
-func (h *Host) isRetryableAnswer(x *exchange, a *forward.Answer) bool {
-	return x.route.Idempotent && a.Status >= http.StatusInternalServerError
-}
-
 // mayRetry decides whether the request is sent to another server after err, or
-// after a retryable answer if err is nil. If so, it takes one retry from the
+// after an answer with a server error if err is nil. If so, it takes one retry from the
 // pool's retry budget.
-func (h *Host) mayRetry(x *exchange, err *result.Error) bool {
+func (h *Host) mayRetry(x *exchange, err *result.Error, mayRunAgain bool) bool {
 	notRun := err != nil && err.Run == result.NotRun
 	switch {
 	case x.callerRequest.Context().Err() != nil || x.attempts >= x.route.MaxAttempts || time.Now().After(x.deadline):
 		return false
 	case err != nil && (err.Code == result.CallerGone || err.Code == result.BodyTooLarge || err.Code == result.BadRequest || err.Code == result.DeadlineExpired):
 		return false
-	case !notRun && !x.route.Idempotent:
+	case !notRun && !mayRunAgain:
 		return false
 	case !x.body.Replayable():
 		return false
