Refuse a success that no server signed

What callers could see: a 200 without a server's signature, such as the status of an earlier answer with the headers of a refusal. Found when what a caller takes for its answer was gone through.

Cause: only refusals were compared with the signature.

Change: on the platform, where servers sign what they ran, a 2xx without exactly one signature has an unknown outcome.

Evidence: TestDoubtsAreReported, case no-stamp: passed on as a success before.

--- a/pkg/forward/belief.go
+++ b/pkg/forward/belief.go
@@ -22,6 +22,8 @@
 	DoubtNoID Doubt = "no-id"
 	// DoubtRunTogether means that its head contains the beginning of another answer.
 	DoubtRunTogether Doubt = "run-together"
+	// DoubtNoStamp means that it says "success" and is not signed, or more than once.
+	DoubtNoStamp Doubt = "no-stamp"
 	// DoubtRefusal means that it says "not run" and may be the refusal of another
 	// request, or contradicts itself.
 	DoubtRefusal Doubt = "refusal"
@@ -55,9 +57,9 @@
 	return x.doubt(DoubtRefusal, "%s refused the request with status %d, which may be the refusal of another one", x.req.Server, resp.StatusCode)
 }
 
-// verify refuses a protocol switch, two heads that run together, and an answer that
-// carries the id of another request, or none on a connection whose earlier answers had
-// ids: it may be a late second copy.
+// verify refuses a protocol switch, two heads that run together, a success that no server
+// signed, and an answer that carries the id of another request, or none on a connection
+// whose earlier answers had ids: it may be a late second copy.
 func (x *exchange) verify(resp *http.Response) *result.Error {
 	if isRunTogether(resp) {
 		return x.doubt(DoubtRunTogether, "%s began another answer within the head of one", x.req.Server)
@@ -78,6 +80,10 @@
 			return x.doubt(DoubtOtherID, "%s answered request %.64q instead of %q", x.req.Server, id, x.req.RequestID)
 		}
 	}
+	stamp := x.f.cfg.Headers.Stamp
+	if stamp != "" && resp.StatusCode < http.StatusMultipleChoices && len(resp.Header[stamp]) != 1 {
+		return x.doubt(DoubtNoStamp, "%s answered with status %d and %d signatures", x.req.Server, resp.StatusCode, len(resp.Header[stamp]))
+	}
 	return nil
 }
 
--- a/pkg/forward/header.go
+++ b/pkg/forward/header.go
@@ -43,7 +43,7 @@
 	// status 421.
 	ServerID string
 	// Stamp, if set, names the header by which a server signs the answer to a request
-	// that it ran.
+	// that it ran. A success without it is not believed.
 	Stamp string
 	// Leaving, if set, names the header that a server sends with the value
 	// LeavingValue once it is about to end.
--- a/pkg/forward/refusal_test.go
+++ b/pkg/forward/refusal_test.go
@@ -180,6 +180,7 @@
 		DoubtOtherID:     answerTo("r0"),
 		DoubtNoID:        strings.Replace(answerTo("r1"), HeaderRequestID+": r1\r\n", "", 1),
 		DoubtRunTogether: "HTTP/1.1 503 S\r\nDate: Sat" + answerTo("r1"),
+		DoubtNoStamp:     strings.Replace(answerTo("r1"), "Stamp: s\r\n", "", 1),
 		DoubtRefusal:     strings.Replace(refusalOf("r1"), "Content", "Stamp: s\r\nContent", 1),
 	} {
 		t.Run(string(want), func(t *testing.T) {
