--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -249,13 +249,13 @@
 	x.attempts++
 	sent := time.Now()
 	var notice forward.Notice
-	mayRunAgain := h.mayRunAgain(x)
+	mayHaveRun, mayRunAgain := x.mayHaveRun, h.mayRunAgain(x)
 	answer, err := h.forward.Do(x.callerRequest.Context(), forward.Request{
 		In: x.callerRequest, Server: x.reservation.choice.Server.Address, Once: !mayRunAgain, Idempotent: mayRunAgain,
 		RequestID: x.requestID, ExpectServer: x.reservation.choice.Server.ID, DeadlineAt: x.deadline, AnswerSlack: deadlineAnswerSlack, Body: x.body,
 		Notice: &notice, Trace: &x.trace,
 		// The tables may have changed while the request waited for a slot.
-		Valid: func() bool { return !x.mayHaveRun || h.mayRunAgain(x) },
+		Valid: func() bool { return !mayHaveRun || h.mayRunAgain(x) },
 	})
 	took := time.Since(sent)
 	completion := h.completionOf(answer, err, took)
