--- a/pkg/forward/parts_test.go
+++ b/pkg/forward/parts_test.go
@@ -151,3 +151,29 @@
 		}
 	}
 }
+
+// Guards against a length in the head of an answer that has no body: a caller that waits
+// for it takes the beginning of the next answer for the body.
+func TestAnswerWithoutABodyHasNoLength(t *testing.T) {
+	bubble(t, Config{}, func(t *testing.T, env *testEnv) {
+		env.script("b", func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n"+HeaderRequestID+": r1\r\nContent-Length: 5\r\n\r\n")
+			}
+		})
+		env.entry(Limits{}, 0)
+		c := env.sendRaw("PUT /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+		r := bufio.NewReader(c)
+		head := ""
+		for !strings.HasSuffix(head, "\r\n\r\n") {
+			line, err := r.ReadString('\n')
+			require.NoError(t, err)
+			head += line
+		}
+		require.Contains(t, head, "204 No Content")
+		require.NotContains(t, head, "Content-Length")
+	})
+}
--- a/test/soak/spoiled_test.go
+++ b/test/soak/spoiled_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -496,7 +497,7 @@
 
 // TestNoFalseRefusalUnderFaults guards against "not run" for a request that ran, a second
 // run of a write, answers with another status or body than a server gave, changed bodies
-// and requests at servers of another pool, while servers repeat, break off and lose
+// requests at servers of another pool and answers without a request, while servers repeat, break off and lose
 // answers, are full, crash and start again under the same id, another one or in another
 // pool, and hosts are stopped, paused, killed and short of processor time. SPOIL_SEEDS, SPOIL_SECONDS and
 // SPOIL_DOSE (a factor of the shares) make it longer and harder.
@@ -652,8 +653,14 @@
 // callSpoiled sends requests of both kinds, with and without bodies, until done is
 // closed, and checks the answers.
 func (s *soak) callSpoiled(done <-chan struct{}, caller int, given *givenAnswers, statuses map[int]int) {
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
+	pooled := &http.Transport{}
+	defer pooled.CloseIdleConnections()
+	var transport http.RoundTripper = pooled
+	if caller%2 == 1 {
+		strict := &strictTransport{soak: s, conns: map[string]*keptConn{}}
+		defer strict.close()
+		transport = strict
+	}
 	rng := rand.New(rand.NewPCG(uint64(caller), 3))
 	for n := 0; ; n++ {
 		select {
@@ -686,6 +693,56 @@
 	}
 }
 
+// strictTransport keeps one connection to each host and reports what arrives on it while
+// no request waits for an answer: a caller would take it for the answer to its next one.
+type strictTransport struct {
+	*soak
+	conns map[string]*keptConn
+}
+
+func (t *strictTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	address := req.URL.Host
+	if k := t.conns[address]; k != nil && !t.isQuiet(k) {
+		t.drop(address)
+	}
+	k := t.conns[address]
+	if k == nil {
+		c, err := net.DialTimeout("tcp4", address, time.Second)
+		if err != nil {
+			return nil, err
+		}
+		k = &keptConn{Conn: c, r: bufio.NewReader(c)}
+		t.conns[address] = k
+	}
+	resp, err := k.RoundTrip(req)
+	if err != nil {
+		t.drop(address)
+	}
+	return resp, err
+}
+
+// isQuiet reports whether an idle connection is open and nothing has arrived on it.
+func (t *strictTransport) isQuiet(k *keptConn) bool {
+	_ = k.SetReadDeadline(time.Now().Add(100 * time.Microsecond))
+	more, err := k.r.Peek(1)
+	if len(more) > 0 {
+		more, _ = k.r.Peek(k.r.Buffered())
+		t.recorder.addViolation("%q arrived on a connection of a caller without a request", more)
+	}
+	return len(more) == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func (t *strictTransport) drop(address string) {
+	_ = t.conns[address].Close()
+	delete(t.conns, address)
+}
+
+func (t *strictTransport) close() {
+	for address := range t.conns {
+		t.drop(address)
+	}
+}
+
 func (s *soak) sendSpoiled(transport http.RoundTripper, rng *rand.Rand, id string, once bool) (standin.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
