Go on with a graceful shutdown when SIGTERM is repeated

A second SIGTERM, one second after the first, cut all requests that the host had passed on.

Cause: the second signal forced the host to stop, as for a program in a terminal.

Change: only SIGINT forces a steer host to stop. A platform ends a process that does not stop with SIGKILL.

--- a/pkg/cli/daemons.go
+++ b/pkg/cli/daemons.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -45,7 +47,7 @@
 			if err := host.Start(); err != nil {
 				return err
 			}
-			return runUntilSignal(cmd.Context(), host)
+			return runUntilSignal(cmd.Context(), host, syscall.SIGINT, syscall.SIGTERM)
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "settings file in TOML")
@@ -61,8 +63,8 @@
 }
 
 // runUntilSignal starts a graceful shutdown of the host at the first signal and
-// forces it to stop at the second.
-func runUntilSignal(ctx context.Context, host daemon) error {
+// forces it to stop at the next one that is among forcing.
+func runUntilSignal(ctx context.Context, host daemon, forcing ...os.Signal) error {
 	signals := terminationSignals()
 	select {
 	case <-signals:
@@ -72,7 +74,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		<-signals
+		for !slices.Contains(forcing, <-signals) {
+		}
 		cancel()
 	}()
 	return host.Shutdown(ctx)
--- a/pkg/cli/steer.go
+++ b/pkg/cli/steer.go
@@ -42,7 +42,9 @@
 			if err := host.Start(); err != nil {
 				return err
 			}
-			return runUntilSignal(cmd.Context(), host)
+			// Platforms may repeat SIGTERM while the host shuts down, and send SIGKILL at
+			// the end of the grace period. SIGINT comes from a person.
+			return runUntilSignal(cmd.Context(), host, syscall.SIGINT)
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "settings file in TOML")
--- a/test/soak/shutdown_test.go
+++ b/test/soak/shutdown_test.go
@@ -226,3 +226,47 @@
 		id, sent.Sub(signalled).Round(time.Millisecond), r.Deadline, ended.Sub(sent).Round(time.Millisecond), ran, err)
 	return "cut"
 }
+
+// TestRepeatedSIGTERMCutsNothing guards against a second SIGTERM that ends the host at
+// once, with the requests that the first one lets go on.
+func TestRepeatedSIGTERMCutsNothing(t *testing.T) {
+	s := newEmptySoak(t)
+	route := standin.Route{Name: "once", Host: "a.example", Prefix: "/once/", Pool: "p", Timeout: 3 * time.Second, Target: 2 * time.Second}
+	s.store.Configure(s.tablesVersion, 1000, []string{"p"}, []standin.Route{route})
+	server := &standin.Server{
+		ServerEntry: standin.ServerEntry{ID: "i-0", Pool: "p", Address: freeAddress(t), Domain: "a-1", Slots: 32, StartedMS: 1},
+		ServiceTime: 1500 * time.Millisecond, OnRun: s.recorder.recordRun,
+	}
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Stop)
+	s.store.Publish(server.ServerEntry, "ready")
+	s.startOnlyHost()
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			id := fmt.Sprint("slow-", i)
+			answer, err := s.sendRequest(&http.Transport{}, s.hosts[0], true, id)
+			if err != nil || answer.Status != http.StatusOK {
+				s.recorder.addViolation("request %s: status %d, %v", id, answer.Status, err)
+			}
+		})
+	}
+	require.Eventually(t, func() bool {
+		s.recorder.mu.Lock()
+		defer s.recorder.mu.Unlock()
+		return len(s.recorder.runs) == 16
+	}, waitTimeout, time.Millisecond)
+	signalled := time.Now()
+	for range 3 {
+		s.hosts[0].signal(syscall.SIGTERM)
+		time.Sleep(100 * time.Millisecond)
+	}
+	wg.Wait()
+	require.Empty(t, s.recorder.violations)
+	select {
+	case <-s.hosts[0].exited:
+		require.LessOrEqual(t, time.Since(signalled), grace)
+	case <-time.After(time.Until(signalled.Add(grace))):
+		require.Fail(t, "the host did not end within the grace period")
+	}
+}
