Let the rest of a long body arrive as slowly as its beginning

Cause: the guard of a slow body ended with the read of the first part, and leaves a deadline for what a refused caller still sends.

Change: the guard ends with the request.

Bodies up to 32 KiB are read as before.

--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -45,6 +45,9 @@
 	pool     *pool
 	need     placing.Need
 	body     *forward.Body
+	// releaseBody ends the limits on how slowly the caller may send its body; nil before
+	// the body is read.
+	releaseBody func()
 
 	reservation reservation
 	attempts    int           // sends to backend servers
@@ -61,6 +64,11 @@
 	x := &exchange{w: w, callerRequest: r, started: time.Now()}
 	h.held.Add(1)
 	defer h.held.Add(-1)
+	defer func() {
+		if x.releaseBody != nil {
+			x.releaseBody()
+		}
+	}()
 	answer, err := h.handle(x)
 	if t := h.table.Load(); t != nil {
 		x.latestVersion = t.Version
@@ -178,11 +186,11 @@
 const defaultTimeout = 30 * time.Second
 
 // readBody buffers the first part of the body before a server is chosen, so that
-// a slow caller does not occupy a slot while it sends.
+// a slow caller does not occupy a slot while it sends. The rest is read while it is sent on.
 func (h *Host) readBody(x *exchange) *result.Error {
 	limit := x.table.Limits.BodyBytes
 	// The zero Limits stand for the default limits on slow callers.
-	defer forward.GuardBody(x.w, x.callerRequest, forward.Limits{})()
+	x.releaseBody = forward.GuardBody(x.w, x.callerRequest, forward.Limits{})
 	body, err := forward.OpenBody(x.callerRequest, limit)
 	if err != nil {
 		return err
