--- a/test/soak/refusals_test.go
+++ b/test/soak/refusals_test.go
@@ -40,6 +40,8 @@
 	// unmarked answers a request that ran with 503, without the header that says that
 	// it did not run.
 	unmarked bool
+	// unsigned answers a request that ran with 504 and without a stamp.
+	unsigned bool
 	// early refuses before the body has been read.
 	early bool
 	// answerEarly answers a request that runs before the body has been read.
@@ -70,6 +72,9 @@
 	return before + after
 }
 
+// cutInStatusLine returns the refusal up to the middle of its first line.
+func cutInStatusLine(refusal string) string { return refusal[:len("HTTP/1.1 421 M")] }
+
 // cutInBody returns the refusal without the last bytes of its body.
 func cutInBody(refusal string) string { return refusal[:len(refusal)-3] }
 
@@ -106,6 +111,8 @@
 	"refusals with a body, no id":       {body: "try another one", whenRunning: whole, withoutID: true},
 	"copy cut in its body":              {body: "try another one", beforeAnswer: cutInBody, withoutID: true},
 	"copy cut in its body, restarts":    {body: "try another one", beforeAnswer: cutInBody, restarts: true},
+	"copy cut in its first line":        {beforeAnswer: cutInStatusLine, restarts: true},
+	"cut in its first line, unsigned":   {beforeAnswer: cutInStatusLine, restarts: true, unsigned: true},
 	"refusals cut in their body":        {body: "try another one", whenRunning: whole, brokenOff: true},
 }
 
@@ -221,6 +228,9 @@
 		status = "503 Service Unavailable"
 	}
 	text := f.answer(id, status)
+	if f.unsigned && rand.IntN(2) == 0 {
+		text = fmt.Sprintf("HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\nX-Request-Id: %s\r\n\r\n", id)
+	}
 	if lastRefusal != "" && f.beforeAnswer != nil {
 		text = f.beforeAnswer(lastRefusal) + text
 	}
