Keep the host late until the change is read in TestLateHostSeesNoOutage

It made the host late for the last time before the store came back, and a host remembers that for 4 s; the next call to the store may come later than that. Traced with a pause of 4.2 s before the store is back: the test fails each time, and rightly so, since a host that was not late for 4 s takes its old copy for an outage. The host is late now until it has read the change, as the test says; the check is the same. Without the memory of lateness it fails as before.

--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -252,6 +252,9 @@
 	source.put(feed.Servers, feed.Item{Name: "s2", Deleted: true})
 	known, lapsed := 2, 0
 	require.Eventually(t, func() bool {
+		// The next call to the store may come more than 4 s after the last one, for which
+		// a host remembers that it was late.
+		h.guard.Measure(time.Now(), time.Second)
 		h.registryMu.Lock()
 		defer h.registryMu.Unlock()
 		known, lapsed = h.registry.Counts()
