Let only the handler read a body whose server answers early

Cause: when the first bytes of an answer are written, net/http's server reads up to 256 KiB of the request's body and drops them, because some callers read the answer only when they have sent everything. The transport read the same body to send it on, and the two readers took turns. Besides, steer closed the body when the answer began: what was left of its first 32 KiB would have been skipped.

Change: every server made by NewServer handles requests with a body in full duplex, and decides itself what happens to the part of the body that nothing has read: the answer is sent first, then up to 256 KiB are dropped within 0.5 s; otherwise the connection is closed behind the answer, because what follows could not be told from a next request. Reads are stopped before the handler returns, so that net/http neither waits for the caller nor reads beside them. This holds for all listeners and all rejections, also those before the body was opened; a rejection no longer waits for the rest of the body. The limits on slow senders count the time that reads wait, as a caller cannot send while its server does not read. A closed body fails reads instead of skipping its buffer, and steer closes it after the answer.

--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -11,8 +11,8 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
-// receive bounds the number of held requests, checks the request and its relay
-// signature, and guards the body against slow senders.
+// receive bounds the number of held requests, and checks the request and its relay
+// signature.
 func (h *Host) receive(next Handler) Handler {
 	return func(ctx context.Context, ex *Exchange) error {
 		held := h.requests.Add(1)
@@ -33,7 +33,6 @@
 		if err := h.checkRelay(ex); err != nil {
 			return err
 		}
-		defer forward.GuardBody(ex.Writer, ex.Request, h.callerLimits())()
 		return next(ctx, ex)
 	}
 }
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -27,9 +27,10 @@
 
 	mu            sync.Mutex
 	buf           *[BufferBytes]byte
-	buffered      int           // bytes in buf
-	fullyBuffered bool          // buf holds the whole body, which has no trailers
-	streamed      bool          // an attempt may have read bytes beyond buf, or the body was closed
+	buffered      int  // bytes in buf
+	fullyBuffered bool // buf holds the whole body, which has no trailers
+	streamed      bool // an attempt may have read bytes beyond buf
+	closed        bool
 	streamedBytes int64         // bytes read beyond buf
 	readErr       *result.Error // why reading the caller's body failed
 }
@@ -62,10 +63,11 @@
 	switch {
 	case b.limit > 0 && int64(n) > b.limit:
 		return tooLarge(b.limit)
-	case err == nil:
-		// More may follow. If the body has exactly BufferBytes bytes, its streamed
-		// part is empty.
+	case err == nil && b.in.ContentLength != int64(n):
+		// More may follow. If a body in chunks has exactly BufferBytes bytes, its
+		// streamed part is empty.
 		return nil
+	case err == nil:
 	case err != io.EOF && err != io.ErrUnexpectedEOF:
 		return bodyError(err)
 	case b.in.ContentLength >= 0 && int64(n) != b.in.ContentLength:
@@ -80,7 +82,8 @@
 // Replayable reports whether the body can be sent more than once.
 func (b *Body) Replayable() bool { return b.fullyBuffered }
 
-// Close frees the buffer. Attempts that still read from the body get an error.
+// Close frees the buffer. Attempts that still read from the body get an error, so Close must
+// not be called before the answer has ended: a server may answer before it has read the body.
 func (b *Body) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -89,7 +92,7 @@
 		b.buf, b.buffered = nil, 0
 	}
 	b.fullyBuffered = false
-	b.streamed = true
+	b.closed = true
 }
 
 func tooLarge(limit int64) *result.Error {
@@ -149,7 +152,10 @@
 	r.ended = true
 }
 
-const errBodyConsumed = errors.ConstError("request body was already streamed or closed")
+const (
+	errBodyConsumed = errors.ConstError("request body was already streamed or closed")
+	errBodyClosed   = errors.ConstError("request body was closed")
+)
 
 // Read returns bytes of the buffer and, after its end, bytes from the caller.
 func (r *bodyReader) Read(p []byte) (int, error) {
@@ -159,6 +165,10 @@
 		b.mu.Unlock()
 		return 0, errAttemptEnded
 	}
+	if b.closed {
+		b.mu.Unlock()
+		return 0, errBodyClosed
+	}
 	if r.offset < b.buffered {
 		n := copy(p, b.buf[r.offset:b.buffered])
 		r.offset += n
@@ -208,5 +218,5 @@
 func (b *Body) consumed() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.streamed
+	return b.streamed || b.closed
 }
--- a/pkg/forward/env_test.go
+++ b/pkg/forward/env_test.go
@@ -100,7 +100,6 @@
 func (env *testEnv) entry(limits Limits, bodyLimit int64) {
 	env.serve("entry", NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		err := CheckHead(r, limits.WithDefaults().HeadBytes)
-		defer GuardBody(w, r, limits)()
 		var a *Answer
 		if err == nil {
 			a, err = env.f.Do(r.Context(), Request{In: r, Server: "b:80", RequestID: "r1", BodyLimit: bodyLimit})
--- a/pkg/forward/head_fuzz_test.go
+++ b/pkg/forward/head_fuzz_test.go
@@ -95,7 +95,6 @@
 }
 
 func (env *fuzzEnv) handle(w http.ResponseWriter, r *http.Request, limits Limits) {
-	defer GuardBody(w, r, limits)()
 	if err := CheckHead(r, limits.HeadBytes); err != nil {
 		w.WriteHeader(err.Code.HTTPStatus())
 		return
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -62,14 +63,15 @@
 // net/http itself answers 431 to heads far over the limit, and 400 to slow and
 // to malformed ones, for example with two different values of Content-Length.
 // Heads slightly over the limit reach h, which should call CheckHead and refuse
-// them with a result code.
+// them with a result code. Reads of a body fail with SlowSender if the caller stalls or
+// sends too slowly on average.
 func NewServer(h http.Handler, l Limits) *http.Server {
 	l = l.WithDefaults()
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           h,
+		Handler:           guardBodies(h, l),
 		ReadHeaderTimeout: l.HeadTimeout,
 		IdleTimeout:       l.KeepAlive,
 		MaxHeaderBytes:    2 * l.HeadBytes,
@@ -95,84 +97,173 @@
 	return nil
 }
 
-// GuardBody makes reads of r.Body fail with SlowSender if the caller stalls or
-// sends too slowly on average. The handler must call the returned function
-// before it returns: net/http reads what remains of a body before it sends a
-// refusal, and would wait for a caller that sends nothing.
-func GuardBody(w http.ResponseWriter, r *http.Request, l Limits) func() {
-	if r.Body == nil || r.Body == http.NoBody {
-		return func() {}
-	}
-	g := &guardedBody{ReadCloser: r.Body, rc: http.NewResponseController(w), limits: l.WithDefaults()}
-	r.Body = g
-	return g.release
+// guardBodies returns a handler that calls next. It bounds how slowly callers may send the
+// bodies of their requests, and deals with the part of a body that next has not read.
+func guardBodies(next http.Handler, l Limits) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		b := guardBody(w, r, l)
+		answered := false
+		defer func() {
+			if !answered { // next panicked, which aborts the connection
+				b.stopReads()
+			}
+		}()
+		next.ServeHTTP(w, r)
+		answered = true
+		b.finish()
+	})
 }
 
-// discardTimeout is how long a caller whose request was refused may go on
-// sending its body. Closing the connection at once could reset it before the
-// caller has read the refusal.
-const discardTimeout = 500 * time.Millisecond
+const (
+	// discardTimeout is how long the host goes on reading the rest of a body after the
+	// answer. Closing the connection at once could reset it before the caller has read
+	// the answer.
+	discardTimeout = 500 * time.Millisecond
+	// maxDiscardBytes bounds this rest. A connection with a longer one is closed.
+	maxDiscardBytes = 256 << 10
+)
+
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
 
-// guardedBody is a caller's body with a read deadline for each part.
+// guardedBody is a caller's body with a read deadline for each part. Only the goroutines
+// that call Read and finish read from the body. net/http would also read from it, to drop
+// the rest, when the answer begins; a part of the body would then be missing at the server.
 type guardedBody struct {
 	io.ReadCloser
-	limits    Limits
-	firstRead time.Time // when Read was first called
-	received  int64     // body bytes that were read
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	limits Limits
+	http2  bool
+	length int64 // announced by the caller, -1 if unknown
+	// expectsContinue is set if the caller may wait for 100 Continue before it sends
+	// the body. The first read sends that.
+	expectsContinue bool
 
-	mu         sync.Mutex
-	reachedEOF bool                     // the body was read to its end
-	slow       bool                     // the last read exceeded its deadline
-	rc         *http.ResponseController // nil after release
+	reading  sync.Mutex    // held during a read; guards waited
+	waited   time.Duration // time that reads have waited for the caller
+	mu       sync.Mutex    // guards the fields below
+	received int64         // body bytes that were read
+	started  bool          // a read has begun
+	ended    bool          // the body was read to its end
+	failed   bool          // a read has failed
+	finished bool          // the request has been handled: reads set no deadlines
 }
 
-// setReadDeadline sets the read deadline of the caller's connection, unless
-// release was called. net/http removes the deadline at the end of the body.
-func (b *guardedBody) setReadDeadline(t time.Time) {
+func guardBody(w http.ResponseWriter, r *http.Request, l Limits) *guardedBody {
+	b := &guardedBody{
+		ReadCloser: r.Body, w: w, rc: http.NewResponseController(w), limits: l.WithDefaults(), http2: r.ProtoMajor >= 2,
+		length: r.ContentLength, expectsContinue: r.Header.Get("Expect") != "",
+	}
+	_ = b.rc.EnableFullDuplex() // fails only for writers that do not read from the body either
+	r.Body = b
+	return b
+}
+
+// Read sets a new deadline for each part and fails with SlowSender when it passes.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	start := time.Now()
+	b.begin(start)
+	n, err := b.ReadCloser.Read(p)
+	b.waited += time.Since(start)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.rc != nil {
-		_ = b.rc.SetReadDeadline(t)
+	b.received += int64(n)
+	b.ended = err == io.EOF
+	b.failed = err != nil && !b.ended
+	if stderrors.Is(err, os.ErrDeadlineExceeded) {
+		err = result.Wrap(err, result.SlowSender, "%d body bytes arrived within %s", b.received, b.waited)
 	}
+	return n, err
 }
 
-// release bounds the time for reading what remains of the body. It also makes
-// setReadDeadline do nothing from now on: a read that is still in progress must
-// not change the deadline of the next request on the connection.
-func (b *guardedBody) release() {
+// begin sets the deadline of a read.
+func (b *guardedBody) begin(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	switch {
-	case b.rc == nil || b.reachedEOF:
-	case b.slow:
-		_ = b.rc.SetReadDeadline(time.Now())
-	default:
-		_ = b.rc.SetReadDeadline(time.Now().Add(discardTimeout))
+	b.started = true
+	if !b.finished {
+		_ = b.rc.SetReadDeadline(now.Add(b.patience()))
 	}
-	b.rc = nil
 }
 
-// Read sets a new deadline for each part. The mean rate counts from the first
-// read, because the request may have been queued before.
-func (b *guardedBody) Read(p []byte) (int, error) {
-	now := time.Now()
-	if b.firstRead.IsZero() {
-		b.firstRead = now
+// patience returns how long the next read may take. The mean rate counts the time that
+// reads have waited, because the caller cannot send while nothing is read.
+func (b *guardedBody) patience() time.Duration {
+	byRate := b.limits.BodyStall + time.Duration(b.received)*time.Second/time.Duration(b.limits.BodyRate) - b.waited
+	return min(b.limits.BodyStall, byRate)
+}
+
+// finish deals with the rest of the body once the request has been handled. The answer is
+// sent first. If the rest does not arrive soon, the connection is closed after the answer:
+// what follows on it could not be told from the next request.
+func (b *guardedBody) finish() {
+	if b.http2 { // the end of the request ends the stream
+		b.stopReads()
+		return
 	}
-	deadline := now.Add(b.limits.BodyStall)
-	rateDeadline := b.firstRead.Add(b.limits.BodyStall + time.Duration(b.received)*time.Second/time.Duration(b.limits.BodyRate))
-	if rateDeadline.Before(deadline) {
-		deadline = rateDeadline
+	if b.setFinished(time.Now().Add(discardTimeout)) {
+		return
 	}
-	b.setReadDeadline(deadline)
-	n, err := b.ReadCloser.Read(p)
-	b.received += int64(n)
-	slow := stderrors.Is(err, os.ErrDeadlineExceeded)
+	if b.canDiscard() {
+		_ = b.rc.Flush() // an error shows in the next read
+		if b.discard() {
+			return
+		}
+	}
+	b.stopReads()
+	b.closeAfterAnswer()
+}
+
+// setFinished sets the deadline for all further reads, also for one that is in progress,
+// and reports whether the body was read to its end.
+func (b *guardedBody) setFinished(deadline time.Time) (ended bool) {
 	b.mu.Lock()
-	b.reachedEOF, b.slow = err == io.EOF, slow
-	b.mu.Unlock()
-	if slow {
-		err = result.Wrap(err, result.SlowSender, "%d body bytes arrived within %s", b.received, time.Since(b.firstRead))
+	defer b.mu.Unlock()
+	b.finished = true
+	if !b.ended {
+		_ = b.rc.SetReadDeadline(deadline)
 	}
-	return n, err
+	return b.ended
+}
+
+// canDiscard reports whether the rest of the body may arrive soon.
+func (b *guardedBody) canDiscard() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.failed && (b.started || !b.expectsContinue) && b.length-b.received <= maxDiscardBytes
+}
+
+// discard reads the rest of the body and reports whether it ended.
+func (b *guardedBody) discard() bool {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	_, err := io.CopyN(io.Discard, b.ReadCloser, maxDiscardBytes+1)
+	return err == io.EOF
+}
+
+// stopReads ends reads of the body, also the one with which net/http looks for its end
+// before it closes the connection.
+func (b *guardedBody) stopReads() {
+	if b.setFinished(past) {
+		return
+	}
+	// net/http clears the deadline if a read is still in progress.
+	b.reading.Lock()
+	defer b.reading.Unlock()
+}
+
+// closeAfterAnswer makes net/http close the connection once the answer has been sent,
+// and say so in the answer's head unless that has been sent.
+func (b *guardedBody) closeAfterAnswer() {
+	// net/http does so when the limit of a MaxBytesReader is exceeded. It has no other
+	// way once the head has been written.
+	exceeded := http.MaxBytesReader(b.w, io.NopCloser(strings.NewReader("x")), 0)
+	_, _ = io.Copy(io.Discard, exceeded)
 }
--- /dev/null
+++ b/pkg/steer/early_answer_test.go
@@ -0,0 +1,78 @@
+package steer
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// distinctBytes returns n bytes without a repeated stretch, so that a missing part shows.
+func distinctBytes(n int) []byte {
+	var b bytes.Buffer
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%07x\n", i)
+	}
+	return b.Bytes()[:n]
+}
+
+// dialCaller opens a connection to the host's caller address.
+func dialCaller(t *testing.T, h *Host) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", h.self.CallerAddress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
+	return c
+}
+
+// Guards against two readers of a caller's body: if a server begins its answer before it has
+// read the body, net/http would read the rest itself, and the server would get the body with
+// parts missing, in chunks even as a whole one.
+func TestBodyReachesServerThatAnswersEarly(t *testing.T) {
+	const pieceBytes, pieces = 8 << 10, 24
+	body := distinctBytes(pieces * pieceBytes)
+	for name, framing := range map[string]string{"length": fmt.Sprintf("Content-Length: %d", len(body)), "chunked": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			received := make(chan []byte, 1)
+			h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": func(w http.ResponseWriter, r *http.Request) {
+				rc := http.NewResponseController(w)
+				_ = rc.EnableFullDuplex()
+				head, _ := io.ReadAll(io.LimitReader(r.Body, 40<<10))
+				_, _ = io.WriteString(w, "received")
+				_ = rc.Flush()
+				rest, _ := io.ReadAll(r.Body)
+				received <- append(head, rest...)
+			}})
+			c := dialCaller(t, h)
+			_, err := fmt.Fprintf(c, "POST /long-once/x HTTP/1.1\r\nHost: a.example\r\nReq-Id: r1\r\n%s\r\n\r\n", framing)
+			require.NoError(t, err)
+			for i := range pieces {
+				piece := body[i*pieceBytes:][:pieceBytes]
+				if name == "chunked" {
+					piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+				}
+				_, err := c.Write(piece)
+				require.NoError(t, err)
+				time.Sleep(10 * time.Millisecond)
+			}
+			if name == "chunked" {
+				_, err := io.WriteString(c, "0\r\n\r\n")
+				require.NoError(t, err)
+			}
+			require.True(t, bytes.Equal(body, <-received), "the server got another body")
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			answer, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, "received", string(answer))
+		})
+	}
+}
--- a/pkg/steer/reply.go
+++ b/pkg/steer/reply.go
@@ -34,14 +34,18 @@
 	if err.Run == result.NotRun && err.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	x.w.WriteHeader(status)
-	body := struct {
+	// The error is nil because strings and numbers can always be encoded.
+	body, _ := json.Marshal(struct {
 		Code int             `json:"code"`
 		Name string          `json:"name"`
 		Run  result.RunState `json:"run"`
-	}{int(err.Code), err.Code.Name(), err.Run}
-	// An error means that the caller closed its connection.
-	_ = json.NewEncoder(x.w).Encode(body)
+	}{int(err.Code), err.Code.Name(), err.Run})
+	body = append(body, '\n')
+	// net/http sets the length itself, unless the answer is sent before the rest of the
+	// caller's body is read.
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(body) // an error means that the caller closed its connection
 }
 
 // promisesNotRun reports whether callers may conclude from the HTTP status that
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -44,10 +44,7 @@
 	deadline time.Time
 	pool     *pool
 	need     placing.Need
-	body     *forward.Body
-	// releaseBody ends the limits on how slowly the caller may send its body; nil before
-	// the body is read.
-	releaseBody func()
+	body     *forward.Body // nil before it is read
 
 	reservation reservation
 	attempts    int           // sends to backend servers
@@ -65,8 +62,8 @@
 	h.held.Add(1)
 	defer h.held.Add(-1)
 	defer func() {
-		if x.releaseBody != nil {
-			x.releaseBody()
+		if x.body != nil {
+			x.body.Close()
 		}
 	}()
 	answer, err := h.handle(x)
@@ -101,7 +98,6 @@
 			return nil, err
 		}
 	}
-	defer x.body.Close()
 	return h.send(x)
 }
 
@@ -188,10 +184,7 @@
 // readBody buffers the first part of the body before a server is chosen, so that
 // a slow caller does not occupy a slot while it sends. The rest is read while it is sent on.
 func (h *Host) readBody(x *exchange) *result.Error {
-	limit := x.table.Limits.BodyBytes
-	// The zero Limits stand for the default limits on slow callers.
-	x.releaseBody = forward.GuardBody(x.w, x.callerRequest, forward.Limits{})
-	body, err := forward.OpenBody(x.callerRequest, limit)
+	body, err := forward.OpenBody(x.callerRequest, x.table.Limits.BodyBytes)
 	if err != nil {
 		return err
 	}
