Leave the caller's connection alone after the end of a body

The log said caller-gone, though the caller waited.

Cause: each read of a caller's body sets a read deadline of 5 s on the connection. net/http removes the deadline at the end of the body and then waits on the connection, to see whether the caller leaves. After a body with a length net/http's client reads once more to see that nothing follows, and that read set the deadline again. When it passed, the wait ended with an error, which net/http takes for a caller that has left. The same happened after a short body in chunks with trailers, with HTTP/1.0 and after 100 Continue; only bodies that are buffered whole, below 32 KiB and without trailers, were not read again.

Change: a read after the end of the body returns at once and touches nothing.

--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -169,7 +169,9 @@
 	b.reading.Lock()
 	defer b.reading.Unlock()
 	start := time.Now()
-	b.begin(start)
+	if !b.begin(start) {
+		return 0, io.EOF
+	}
 	n, err := b.ReadCloser.Read(p)
 	b.waited += time.Since(start)
 	b.mu.Lock()
@@ -183,14 +185,16 @@
 	return n, err
 }
 
-// begin sets the deadline of a read.
-func (b *guardedBody) begin(now time.Time) {
+// begin sets the deadline of a read. At the end of the body it returns false and leaves
+// the connection alone: net/http has removed the deadline and waits for the next request.
+func (b *guardedBody) begin(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.started = true
-	if !b.finished {
+	if !b.ended && !b.finished {
 		_ = b.rc.SetReadDeadline(now.Add(b.patience()))
 	}
+	return !b.ended
 }
 
 // patience returns how long the next read may take. The mean rate counts the time that
