Send a long body to its end when the server has answered or pauses

Servers saw: one that had answered before it had read a body of more than 32 KiB lost its connection 50 ms later, in the middle of the body, although the caller had its 200. One that paused for more than 2 s while it read lost its connection, and the caller got 502.

Cause: net/http's client closes a connection on which the answer has ended 50 ms before the request. And Linux applies TCP_USER_TIMEOUT (2 s) to a peer whose receive window is full, although that acknowledges every probe.

Change: a request whose body is not fully buffered has a connection of its own, on which the answer is read and the body sent independently, without a user timeout. A server that refused or failed the request gets no more. A body of which nothing beyond the buffer was read may be sent again after a connection could not be opened. The write deadline of an answer now also covers its last bytes, which net/http sends after the handler.

TestServerThatPausesReading: 502 before, passes.

--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -39,7 +39,7 @@
 			if ex.Server != "" && err.Code != result.CallerGone {
 				ex.tried = append(ex.tried, ex.Server)
 			}
-			if ex.Answered || !body.Replayable() || !isRetryable(err) {
+			if ex.Answered || !body.Sendable() || !isRetryable(err) {
 				return err
 			}
 			decision := h.decideRetry(ex, err.Run)
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -156,7 +156,9 @@
 		_, err = a.resp.Body.Read(probe[:])
 		a.complete = err == io.EOF
 	}
-	a.release()
+	if a.x.upload == nil || a.x.upload.isSent() {
+		a.release()
+	}
 	return nil
 }
 
@@ -249,23 +251,46 @@
 		h.Add("Trailer", name)
 	}
 	w.WriteHeader(a.Status)
+	var n int64
+	var err *result.Error
 	if a.complete {
-		return a.copyBuffered(w)
+		n, err = a.copyBuffered(w)
+	} else {
+		n, err = a.stream(w)
 	}
-	n, err := a.stream(w)
 	if err != nil {
 		return n, err
 	}
-	a.complete = true
-	a.copyTrailers(h)
+	if !a.complete {
+		a.complete = true
+		a.copyTrailers(h)
+	}
+	a.finishUpload(w)
 	return n, nil
 }
 
+// finishUpload lets the server read the rest of the request's body, if it has answered before.
+// A server that refused or failed the request needs no more of it.
+func (a *Answer) finishUpload(w http.ResponseWriter) {
+	u := a.x.upload
+	if u == nil || u.isSent() || a.Status >= http.StatusBadRequest {
+		return
+	}
+	_ = http.NewResponseController(w).Flush() // an error ends the reads of the body
+	u.await(a.x.ctx, DefaultUploadStall)
+}
+
+// shortAnswerTimeout is how long a caller may take to read an answer that is buffered, or the
+// end of one that is streamed. net/http sends these when the handler has returned, and removes
+// the deadline.
+const shortAnswerTimeout = 5 * time.Second
+
 // copyBuffered sends a body that bufferShortBody has read.
 func (a *Answer) copyBuffered(w http.ResponseWriter) (int64, *result.Error) {
 	if a.buffered == 0 {
 		return 0, nil
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(shortAnswerTimeout))
 	n, err := w.Write(a.buf[:a.buffered])
 	if err != nil {
 		return int64(n), a.writeError(err)
@@ -281,7 +306,8 @@
 
 // stream copies the body from the server to the caller through one buffer. A
 // body of unknown length is flushed after each read, because the server may
-// send its parts as they become available.
+// send its parts as they become available, and so is any body while the caller still
+// sends: it may wait for a part of the answer before it goes on.
 func (a *Answer) stream(w http.ResponseWriter) (n int64, _ *result.Error) {
 	buf := buffers.Get().(*[BufferBytes]byte)
 	defer buffers.Put(buf)
@@ -289,7 +315,7 @@
 	if !a.x.req.DeadlineAt.IsZero() {
 		// A caller that does not read must not hold a slot past the deadline.
 		_ = rc.SetWriteDeadline(a.x.req.DeadlineAt.Add(a.x.req.AnswerSlack))
-		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+		defer func() { _ = rc.SetWriteDeadline(time.Now().Add(shortAnswerTimeout)) }()
 	}
 	for {
 		nr, rerr := a.resp.Body.Read(buf[:])
@@ -299,7 +325,7 @@
 			if werr != nil {
 				return n, a.writeError(werr)
 			}
-			if a.ContentLength < 0 {
+			if a.ContentLength < 0 || a.x.upload != nil && !a.x.upload.isSent() {
 				_ = rc.Flush()
 			}
 		}
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -82,6 +82,10 @@
 // Replayable reports whether the body can be sent more than once.
 func (b *Body) Replayable() bool { return b.fullyBuffered }
 
+// Sendable reports whether the body can be sent from its start: no attempt has read beyond the
+// buffer.
+func (b *Body) Sendable() bool { return !b.consumed() }
+
 // Close frees the buffer. Attempts that still read from the body get an error, so Close must
 // not be called before the answer has ended: a server may answer before it has read the body.
 func (b *Body) Close() {
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -79,6 +79,14 @@
 	attempt  atomic.Pointer[attempt]
 	written  atomic.Int64
 	received atomic.Int64
+	// stallLimit, if not 0, bounds each write, in nanoseconds.
+	stallLimit atomic.Int64
+}
+
+// limitStalls bounds each write from now on, also one that is in progress.
+func (c *rawConn) limitStalls(limit time.Duration) {
+	c.stallLimit.Store(int64(limit))
+	_ = c.SetWriteDeadline(time.Now().Add(limit)) // fails only if the connection is closed
 }
 
 // Write sends b unless the current attempt forbids it.
@@ -88,6 +96,9 @@
 			return 0, err
 		}
 	}
+	if limit := c.stallLimit.Load(); limit > 0 {
+		_ = c.SetWriteDeadline(time.Now().Add(time.Duration(limit)))
+	}
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
 	return n, err
@@ -103,9 +114,10 @@
 // conn is one connection to a server.
 type conn struct {
 	raw    *rawConn
-	cc     *http.ClientConn
+	cc     *http.ClientConn // nil if the connection carries an upload
 	pool   *pool
 	id     int64
+	upload bool // it carries one request whose body is not fully buffered
 	reused bool // an earlier exchange was completed on it
 	// answers is the number of answers that were read to their end on it.
 	answers int
@@ -126,7 +138,9 @@
 // request.
 func (c *conn) close() {
 	c.closed.Do(func() {
-		_ = c.cc.Close()
+		if c.cc != nil {
+			_ = c.cc.Close()
+		}
 		// After a response with status 101, net/http does not close the
 		// connection itself.
 		_ = c.raw.Close()
@@ -143,10 +157,11 @@
 
 // release returns the connection to its pool if the answer was read to its end
 // and the connection can carry another request. Otherwise it closes it. A copy of an answer
-// without an id could not be told from the next one.
+// without an id could not be told from the next one. A connection that carried an upload is
+// closed, too.
 func (c *conn) release(complete bool) {
 	unnamed := c.pool.f.cfg.Headers.ServersEchoID && !c.echoesID
-	if !complete || unnamed || c.cc.Err() != nil || c.cc.Available() != 1 || len(c.refused) >= maxRefusedWrites {
+	if !complete || unnamed || c.cc == nil || c.cc.Err() != nil || c.cc.Available() != 1 || len(c.refused) >= maxRefusedWrites {
 		c.close()
 		return
 	}
@@ -179,6 +194,16 @@
 	return c, nil
 }
 
+// dialUpload opens a connection to the server of p for one upload.
+func (f *Forwarder) dialUpload(ctx context.Context, p *pool) (*conn, error) {
+	c, start := &conn{pool: p, id: f.lastConnID.Add(1), upload: true}, f.now()
+	if _, err := f.dialRaw(context.WithValue(ctx, connContextKey{}, c), "tcp", p.addr); err != nil {
+		return nil, err
+	}
+	c.dialTime = f.now().Sub(start)
+	return c, nil
+}
+
 // dialRaw is the DialContext of the transport. It wraps the connection in a
 // rawConn and stores that in the *conn of the context.
 func (f *Forwarder) dialRaw(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -46,7 +46,8 @@
 	KeepAliveCount = 3
 	// UserTimeout closes a connection whose sent data stays unacknowledged for
 	// this long. Within a failure domain this leaves time for several
-	// retransmissions.
+	// retransmissions. Connections for uploads have no such limit, because it
+	// also ends one to a server that does not read for this long.
 	UserTimeout = 2 * time.Second
 )
 
@@ -117,7 +118,7 @@
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: KeepAliveIdle, Interval: KeepAliveInterval, Count: KeepAliveCount,
 			},
-			Control: setUserTimeout,
+			ControlContext: setUserTimeout,
 		}).DialContext
 	}
 	f := &Forwarder{cfg: cfg, now: cfg.Now, pools: map[string]*pool{}}
@@ -206,6 +207,8 @@
 	relay        bool
 	// writtenBefore is the number of bytes that were written to conn before.
 	writtenBefore int64
+	// upload is set if the body is not fully buffered.
+	upload *upload
 }
 
 func (f *Forwarder) do(ctx context.Context, x *exchange) (*Answer, *result.Error) {
@@ -280,7 +283,7 @@
 	}
 	maxAge = x.f.idleLimit.clamp(x.f.now(), maxAge)
 	x.curAttempt = &attempt{requestValid: x.req.Valid}
-	c, err := x.pool.get(x.ctx, maxAge, x.req.RequestID)
+	c, err := x.getConn(maxAge)
 	if err != nil {
 		return nil, x.failure(err), false
 	}
@@ -292,7 +295,7 @@
 	}
 	c.raw.attempt.Store(x.curAttempt)
 	received, sentAt := c.raw.received.Load(), x.f.now()
-	resp, err := c.cc.RoundTrip(x.outbound())
+	resp, err := x.roundTrip()
 	x.traceWritten()
 	if err == nil {
 		a, rerr := x.handleResponse(resp)
@@ -318,6 +321,25 @@
 	return nil, x.failure(err), false
 }
 
+// getConn returns a connection for the request. One from the pool had its last answer at
+// most maxAge ago.
+func (x *exchange) getConn(maxAge time.Duration) (*conn, error) {
+	if x.body.Replayable() {
+		return x.pool.get(x.ctx, maxAge, x.req.RequestID)
+	}
+	return x.pool.getForUpload(x.ctx)
+}
+
+// roundTrip sends the request and returns the answer when its head has arrived.
+func (x *exchange) roundTrip() (*http.Response, error) {
+	out := x.outbound()
+	if !x.conn.upload {
+		return x.conn.cc.RoundTrip(out)
+	}
+	x.upload = &upload{raw: x.conn.raw, sent: make(chan struct{})}
+	return x.upload.roundTrip(x.ctx, out, x.f.cfg.AnswerHeadBytes, func() bool { return x.body.failure() != nil })
+}
+
 // outbound builds the request to the server.
 func (x *exchange) outbound() *http.Request {
 	in := x.req.In
@@ -373,6 +395,9 @@
 // failed connection. net/http exports no errors for this, so the texts are
 // compared; TestFailingServers fails if they change.
 func malformed(err error) bool {
+	if stderrors.Is(err, errMalformedAnswer) {
+		return true
+	}
 	var netErr net.Error
 	if stderrors.Is(err, io.EOF) || stderrors.Is(err, io.ErrUnexpectedEOF) || stderrors.As(err, &netErr) {
 		return false
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -37,10 +37,23 @@
 		}
 		c.close()
 	}
+	return p.openConn(ctx, p.f.dial)
+}
+
+// getForUpload returns a new connection for one upload.
+func (p *pool) getForUpload(ctx context.Context) (*conn, error) {
+	p.mu.Lock()
+	p.lastRequested = p.f.now()
+	p.mu.Unlock()
+	return p.openConn(ctx, p.f.dialUpload)
+}
+
+// openConn opens a connection within the connection limit.
+func (p *pool) openConn(ctx context.Context, dial func(context.Context, *pool) (*conn, error)) (*conn, error) {
 	if err := p.reserve(); err != nil {
 		return nil, err
 	}
-	c, err := p.f.dial(ctx, p)
+	c, err := dial(ctx, p)
 	if err != nil {
 		p.unreserve()
 		return nil, err
--- a/pkg/forward/sockopt_other.go
+++ b/pkg/forward/sockopt_other.go
@@ -2,7 +2,10 @@
 
 package forward
 
-import "syscall"
+import (
+	"context"
+	"syscall"
+)
 
 // setUserTimeout does nothing: TCP_USER_TIMEOUT exists on Linux only.
-func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
+func setUserTimeout(context.Context, string, string, syscall.RawConn) error { return nil }
--- a/pkg/steer/early_answer_test.go
+++ b/pkg/steer/early_answer_test.go
@@ -7,20 +7,23 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// distinctBytes returns n bytes without a repeated stretch, so that a missing part shows.
-func distinctBytes(n int) []byte {
+// distinctBytes returns up to 1 MiB without a repeated stretch, so that a missing part shows.
+func distinctBytes(n int) []byte { return distinct()[:n:n] }
+
+var distinct = sync.OnceValue(func() []byte {
 	var b bytes.Buffer
-	for i := 0; b.Len() < n; i++ {
+	for i := 0; b.Len() < 1<<20; i++ {
 		fmt.Fprintf(&b, "%07x\n", i)
 	}
-	return b.Bytes()[:n]
-}
+	return b.Bytes()
+})
 
 // dialCaller opens a connection to the host's caller address.
 func dialCaller(t *testing.T, h *Host) net.Conn {
@@ -76,3 +79,24 @@
 		})
 	}
 }
+
+// Guards against a server that is cut off because it does not read for a while: Linux ends a
+// connection whose peer's receive window stays full for TCP_USER_TIMEOUT, although the peer
+// acknowledges everything.
+func TestServerThatPausesReading(t *testing.T) {
+	body := distinctBytes(1 << 20)
+	received := make(chan []byte, 1)
+	h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": func(w http.ResponseWriter, r *http.Request) {
+		head, _ := io.ReadAll(io.LimitReader(r.Body, 40<<10))
+		time.Sleep(lateness)
+		rest, _ := io.ReadAll(r.Body)
+		received <- append(head, rest...)
+		answerOK(w, r)
+	}})
+	c := dialCaller(t, h)
+	go func() {
+		_, _ = fmt.Fprintf(c, "POST /long-once/x HTTP/1.1\r\nHost: a.example\r\nReq-Id: r1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}()
+	require.NoError(t, expectAnswer(bufio.NewReader(c), "answer"))
+	require.True(t, bytes.Equal(body, <-received))
+}
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -339,7 +339,7 @@
 		return false
 	case !notRun && !mayRunAgain:
 		return false
-	case !x.body.Replayable():
+	case !x.body.Sendable():
 		return false
 	}
 	return x.pool.takeRetry(h.peers.count())
