--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -276,8 +276,10 @@
 	if u == nil || u.isSent() || a.Status >= http.StatusBadRequest {
 		return
 	}
-	_ = http.NewResponseController(w).Flush() // an error ends the reads of the body
+	rc := http.NewResponseController(w)
+	_ = rc.Flush() // an error ends the reads of the body
 	u.await(a.x.ctx, DefaultUploadStall)
+	_ = rc.SetWriteDeadline(time.Now().Add(shortAnswerTimeout))
 }
 
 // shortAnswerTimeout is how long a caller may take to read an answer that is buffered, or the
