Set no deadline on an HTTP/2 body that nothing reads

Callers over HTTP/2 saw: a stream was reset if its server paused for more than 5 s while it read a long body.

Cause: the deadline for the next part stays when that has arrived. Over HTTP/1 it matters only to the next read, which sets it anew; over HTTP/2 it ends the body when it passes.

Change: over HTTP/2 the deadline is removed after each read. Also, no read of a body begins once its request has been handled: a goroutine that is about to read could otherwise meet the read with which net/http looks for the end of the body.

--- a/pkg/forward/caller_test.go
+++ b/pkg/forward/caller_test.go
@@ -313,3 +313,35 @@
 		require.NoError(t, c.Close())
 	})
 }
+
+// Guards against a read deadline that ends the body of a caller while its server does not read:
+// over HTTP/2 a deadline also ends a body that nothing reads from. And guards against counting
+// the server's pause as the caller's.
+func TestServerPausesInLongBody(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 512<<10) // more than the connections buffer
+	for _, h2 := range []bool{false, true} {
+		for _, early := range []bool{false, true} {
+			bubble(t, Config{}, func(t *testing.T, env *testEnv) {
+				env.serve("b", &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					rc := http.NewResponseController(w)
+					_ = rc.EnableFullDuplex()
+					if early {
+						_ = rc.Flush()
+					}
+					_, _ = io.CopyN(w, r.Body, 40<<10)
+					time.Sleep(3 * time.Minute)
+					_, _ = io.Copy(w, r.Body)
+				})})
+				env.entry(Limits{}, 0)
+				req, _ := http.NewRequest("POST", "http://entry:80/", io.MultiReader(strings.NewReader(body)))
+				resp, err := env.client(h2).Do(req)
+				require.NoError(t, err)
+				got, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, 200, resp.StatusCode)
+				require.True(t, body == string(got), "%d bytes, HTTP/2 %v, early answer %v", len(got), h2, early)
+				require.NoError(t, resp.Body.Close())
+			})
+		}
+	}
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -151,7 +153,7 @@
 	started  bool          // a read has begun
 	ended    bool          // the body was read to its end
 	failed   bool          // a read has failed
-	finished bool          // the request has been handled: reads set no deadlines
+	finished bool          // the request has been handled: no further read begins
 }
 
 func guardBody(w http.ResponseWriter, r *http.Request, l Limits) *guardedBody {
@@ -169,8 +171,8 @@
 	b.reading.Lock()
 	defer b.reading.Unlock()
 	start := time.Now()
-	if !b.begin(start) {
-		return 0, io.EOF
+	if err := b.begin(start); err != nil {
+		return 0, err
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.waited += time.Since(start)
@@ -179,22 +181,32 @@
 	b.received += int64(n)
 	b.ended = err == io.EOF
 	b.failed = err != nil && !b.ended
+	if b.http2 && err == nil && !b.finished {
+		// Over HTTP/2 the deadline ends the body also if nothing reads when it passes.
+		_ = b.rc.SetReadDeadline(time.Time{})
+	}
 	if stderrors.Is(err, os.ErrDeadlineExceeded) {
 		err = result.Wrap(err, result.SlowSender, "%d body bytes arrived within %s", b.received, b.waited)
 	}
 	return n, err
 }
 
-// begin sets the deadline of a read. At the end of the body it returns false and leaves
-// the connection alone: net/http has removed the deadline and waits for the next request.
-func (b *guardedBody) begin(now time.Time) bool {
+const errRequestHandled = errors.ConstError("request body was read after the request was handled")
+
+// begin sets the deadline of a read. At the end of the body it fails and leaves the
+// connection alone: net/http has removed the deadline and waits for the next request.
+func (b *guardedBody) begin(now time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.started = true
-	if !b.ended && !b.finished {
-		_ = b.rc.SetReadDeadline(now.Add(b.patience()))
+	switch {
+	case b.ended:
+		return io.EOF
+	case b.finished:
+		return errRequestHandled
 	}
-	return !b.ended
+	b.started = true
+	_ = b.rc.SetReadDeadline(now.Add(b.patience())) // fails only if the connection is closed
+	return nil
 }
 
 // patience returns how long the next read may take. The mean rate counts the time that
