Log bodies that are cut after the answer, test listeners and relays

The line of a request says body_cut if the server had answered, but could not be sent the rest of the body: the status alone does not show it.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -278,7 +278,10 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.Flush() // an error ends the reads of the body
-	u.await(a.x.ctx, DefaultUploadStall)
+	sent := u.await(a.x.ctx, DefaultUploadStall)
+	if t := a.x.req.Trace; t != nil {
+		t.BodyCut = !sent
+	}
 	_ = rc.SetWriteDeadline(time.Now().Add(shortAnswerTimeout))
 }
 
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -229,3 +229,41 @@
 	require.NoError(env.t, resp.Body.Close())
 	return string(b)
 }
+
+// Guards against a long body that is changed or cut on the way through a second entry host,
+// if the server answers before it has read it, for methods with and without a usual body.
+func TestRelayedBodyWithEarlyAnswer(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 16<<10)
+	for _, method := range []string{"POST", "PUT", "DELETE", "GET", "OPTIONS"} {
+		bubble(t, Config{}, func(t *testing.T, env *testEnv) {
+			received := make(chan string, 1)
+			env.serve("b", &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				rc := http.NewResponseController(w)
+				_ = rc.EnableFullDuplex()
+				_, _ = io.WriteString(w, "whole")
+				_ = rc.Flush()
+				got, _ := io.ReadAll(r.Body)
+				received <- r.Method + string(got)
+			})})
+			env.entry(Limits{}, 0)
+			signer := NewSigner(relayKey, "a", time.Now)
+			env.serve("first", NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				a, err := env.f.Relay(r.Context(), signer, RelayRequest{Request: Request{In: r, Server: "entry:80", RequestID: "r1"}, To: "entry", Purpose: ForSpill})
+				if err != nil {
+					panic(http.ErrAbortHandler)
+				}
+				a.Reply(w)
+			}), Limits{}))
+			for _, name := range []string{"entry", "first"} {
+				req, _ := http.NewRequest(method, "http://"+name+":80/", io.MultiReader(strings.NewReader(body)))
+				resp, err := env.client(false).Do(req)
+				require.NoError(t, err)
+				got, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, "whole", string(got))
+				require.True(t, method+body == <-received, "%s through %s", method, name)
+				require.NoError(t, resp.Body.Close())
+			}
+		})
+	}
+}
--- a/pkg/forward/trace.go
+++ b/pkg/forward/trace.go
@@ -10,6 +10,9 @@
 	EarlierAnswers int
 	// Written is the number of bytes of the request that were handed to the connection.
 	Written int64
+	// BodyCut means that the server had answered, but could not be sent the rest of the
+	// body.
+	BodyCut bool
 	// Basis is why the answer was believed to refuse this request; empty if it was not.
 	Basis Basis
 }
--- a/pkg/forward/upload.go
+++ b/pkg/forward/upload.go
@@ -66,13 +66,15 @@
 	}
 }
 
-// await waits until the request has been sent or cannot be, or until ctx ends. The server has
-// answered.
-func (u *upload) await(ctx context.Context, stall time.Duration) {
+// await waits until the request has been sent or cannot be, until the server has read nothing
+// for the time stall, or until ctx ends. It reports whether the request has been sent.
+func (u *upload) await(ctx context.Context, stall time.Duration) bool {
 	u.raw.limitStalls(stall)
 	select {
 	case <-u.sent:
+		return u.err == nil
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/pkg/steer/body_limits_test.go
+++ b/pkg/steer/body_limits_test.go
@@ -173,3 +173,53 @@
 	}
 	return n
 }
+
+// Guards against a listener that waits without a limit for a body that nothing asked for.
+func TestListenersBoundBodies(t *testing.T) {
+	h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": answerOK})
+	l := h.cfg().Listen
+	for _, address := range []string{l.Caller, l.Ready, l.Lookup, l.Control, l.Metrics} {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetDeadline(time.Now().Add(waitTimeout))
+		start := time.Now()
+		_, err = io.WriteString(c, post("/none/x", "Content-Length: 10"))
+		require.NoError(t, err)
+		r := bufio.NewReader(c)
+		resp, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, resp.StatusCode, 400)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		_, err = r.ReadByte()
+		require.Equal(t, io.EOF, err, "the connection was kept")
+		require.Less(t, time.Since(start), limitMargin)
+	}
+}
+
+// Guards against closing the connection of a caller whose request is rejected although its body
+// arrives at once or a little later.
+func TestRejectionKeepsConnection(t *testing.T) {
+	h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": answerOK})
+	for _, size := range []int{1, 4 << 10, 100 << 10, 256 << 10} {
+		for _, framing := range []string{fmt.Sprintf("Content-Length: %d", size), "Transfer-Encoding: chunked"} {
+			c := dialCaller(t, h)
+			body := string(distinctBytes(size))
+			if framing == "Transfer-Encoding: chunked" {
+				body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body)
+			}
+			_, err := io.WriteString(c, post("/none/x", framing))
+			require.NoError(t, err)
+			r := bufio.NewReader(c)
+			resp, err := http.ReadResponse(r, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusNotFound, resp.StatusCode)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+			_, err = io.WriteString(c, body+nextRequest)
+			require.NoError(t, err)
+			require.NoError(t, expectAnswer(r, "answer"), "%d bytes, %s", size, framing)
+		}
+	}
+}
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -212,6 +212,9 @@
 	if x.attempts > 0 {
 		e = withServer(e, x)
 	}
+	if x.trace.BodyCut {
+		e = e.Bool("body_cut", true)
+	}
 	if err != nil {
 		e = e.Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error())
 		if err.RetryAfter > 0 {
