Bound how long callers may take to read the end of an answer

Callers that send one request after the other and read no answers held their connection and a goroutine for ever: net/http sends a short answer, or the end of a longer one, after the handler, with no write deadline. boundCallers sets one of 5 s for every answer, rejections and all listeners included; net/http removes it when the answer has been sent.

TestCallerThatReadsNoAnswers: both forms still held after 60 s on.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -276,26 +276,19 @@
 	if u == nil || u.isSent() || a.Status >= http.StatusBadRequest {
 		return
 	}
-	rc := http.NewResponseController(w)
-	_ = rc.Flush() // an error ends the reads of the body
+	_ = http.NewResponseController(w).Flush() // an error ends the reads of the body
 	sent := u.await(a.x.ctx, DefaultUploadStall)
 	if t := a.x.req.Trace; t != nil {
 		t.BodyCut = !sent
 	}
-	_ = rc.SetWriteDeadline(time.Now().Add(shortAnswerTimeout))
 }
 
-// shortAnswerTimeout is how long a caller may take to read an answer that is buffered, or the
-// end of one that is streamed. net/http sends these when the handler has returned, and removes
-// the deadline.
-const shortAnswerTimeout = 5 * time.Second
-
 // copyBuffered sends a body that bufferShortBody has read.
 func (a *Answer) copyBuffered(w http.ResponseWriter) (int64, *result.Error) {
 	if a.buffered == 0 {
 		return 0, nil
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(shortAnswerTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerEndTimeout))
 	n, err := w.Write(a.buf[:a.buffered])
 	if err != nil {
 		return int64(n), a.writeError(err)
@@ -320,7 +313,6 @@
 	if !a.x.req.DeadlineAt.IsZero() {
 		// A caller that does not read must not hold a slot past the deadline.
 		_ = rc.SetWriteDeadline(a.x.req.DeadlineAt.Add(a.x.req.AnswerSlack))
-		defer func() { _ = rc.SetWriteDeadline(time.Now().Add(shortAnswerTimeout)) }()
 	}
 	for {
 		nr, rerr := a.resp.Body.Read(buf[:])
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -73,7 +73,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           guardBodies(h, l),
+		Handler:           boundCallers(h, l),
 		ReadHeaderTimeout: l.HeadTimeout,
 		IdleTimeout:       l.KeepAlive,
 		MaxHeaderBytes:    2 * l.HeadBytes,
@@ -99,28 +99,36 @@
 	return nil
 }
 
-// guardBodies returns a handler that calls next. It bounds how slowly callers may send the
-// bodies of their requests, and deals with the part of a body that next has not read.
-func guardBodies(next http.Handler, l Limits) http.Handler {
+// boundCallers returns a handler that calls next. It bounds how slowly callers may send the
+// bodies of their requests and read the ends of their answers, and deals with the part of a
+// body that next has not read.
+func boundCallers(next http.Handler, l Limits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == nil || r.Body == http.NoBody {
-			next.ServeHTTP(w, r)
-			return
+		rc := http.NewResponseController(w)
+		var body *guardedBody
+		if r.Body != nil && r.Body != http.NoBody {
+			body = guardBody(w, rc, r, l)
 		}
-		b := guardBody(w, r, l)
 		answered := false
 		defer func() {
-			if !answered { // next panicked, which aborts the connection
-				b.stopReads()
+			if body != nil && !answered { // next panicked, which aborts the connection
+				body.stopReads()
 			}
 		}()
 		next.ServeHTTP(w, r)
 		answered = true
-		b.finish()
+		// net/http removes the deadline when it has sent the end of the answer.
+		_ = rc.SetWriteDeadline(time.Now().Add(answerEndTimeout))
+		if body != nil {
+			body.finish()
+		}
 	})
 }
 
 const (
+	// answerEndTimeout is how long a caller may take to read a short answer, or the end of
+	// a longer one.
+	answerEndTimeout = 5 * time.Second
 	// discardTimeout is how long the host goes on reading the rest of a body after the
 	// answer. Closing the connection at once could reset it before the caller has read
 	// the answer.
@@ -156,9 +164,9 @@
 	finished bool          // the request has been handled: no further read begins
 }
 
-func guardBody(w http.ResponseWriter, r *http.Request, l Limits) *guardedBody {
+func guardBody(w http.ResponseWriter, rc *http.ResponseController, r *http.Request, l Limits) *guardedBody {
 	b := &guardedBody{
-		ReadCloser: r.Body, w: w, rc: http.NewResponseController(w), limits: l.WithDefaults(), http2: r.ProtoMajor >= 2,
+		ReadCloser: r.Body, w: w, rc: rc, limits: l.WithDefaults(), http2: r.ProtoMajor >= 2,
 		length: r.ContentLength, expectsContinue: r.Header.Get("Expect") != "",
 	}
 	_ = b.rc.EnableFullDuplex() // fails only for writers that do not read from the body either
--- a/pkg/steer/body_callers_test.go
+++ b/pkg/steer/body_callers_test.go
@@ -116,26 +116,36 @@
 }
 
 // Guards against a caller that sends one request after the other and reads no answers: the
-// write of a short answer had no limit, so that the host held the request for ever.
+// write of a short answer had no limit, so that the host held the connection for ever.
 func TestCallerThatReadsNoAnswers(t *testing.T) {
 	answer := strings.Repeat("x", 30_000)
-	h, servers, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": func(w http.ResponseWriter, _ *http.Request) {
+	for name, request := range map[string]string{"answers": nextRequest, "rejections": strings.Replace(nextRequest, "/safe/", "/none/", 1)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testCallerThatReadsNoAnswers(t, request, answer)
+		})
+	}
+}
+
+func testCallerThatReadsNoAnswers(t *testing.T, request, answer string) {
+	h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 		_, _ = io.WriteString(w, answer)
 	}})
 	c := dialCaller(t, h)
+	ended := make(chan struct{})
 	go func() {
-		for {
-			if _, err := io.WriteString(c, nextRequest); err != nil {
+		defer close(ended)
+		for requests := strings.Repeat(request, 1000); ; {
+			if _, err := io.WriteString(c, requests); err != nil {
 				return
 			}
 		}
 	}()
-	stalled := func() bool {
-		n := servers["s1"].count()
-		time.Sleep(500 * time.Millisecond)
-		return n > 0 && n == servers["s1"].count() && h.held.Load() == 1
-	}
-	require.Eventually(t, stalled, waitTimeout, time.Millisecond, "the host can still send answers")
-	require.Eventually(t, func() bool { return h.held.Load() == 0 && h.conns.busy() == 0 }, waitTimeout, 10*time.Millisecond, "the host holds a request whose answer nobody reads")
+	_ = c.SetDeadline(time.Now().Add(2 * waitTimeout)) // the caller's kernel takes some MB of answers
+	<-ended
+	require.Eventually(t, func() bool {
+		open, _ := h.conns.count()
+		return h.held.Load() == 0 && open == 0
+	}, waitTimeout, 10*time.Millisecond, "the host holds a connection whose answers nobody reads")
 }
--- a/pkg/steer/early_answer_test.go
+++ b/pkg/steer/early_answer_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 )
 
 // distinctBytes returns up to 1 MiB without a repeated stretch, so that a missing part shows.
@@ -100,3 +103,38 @@
 	require.NoError(t, expectAnswer(bufio.NewReader(c), "answer"))
 	require.True(t, bytes.Equal(body, <-received))
 }
+
+// Guards against losing the answer of a server that refuses a long body and closes the
+// connection: the failed write of the body must not hide the answer.
+func TestServerRefusesLongBodyAndCloses(t *testing.T) {
+	const refusal = "HTTP/1.1 413 Too Large\r\nReq-Id: r1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nlong"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, refusal)
+			_ = c.Close() // resets the connection, because the body has not been read
+		}
+	}()
+	source := newSource()
+	putTable(source, 3)
+	source.put(feed.Servers, feed.Item{Name: "s1", Server: &fleet.Server{ID: "s1", Pool: "p", Address: l.Addr().String(), Domain: "a-1", Slots: 4, StartedMS: 1}})
+	h := startHost(t, source, "h1", "a-1")
+	ready(t, h, 1)
+	for range 100 {
+		c := dialCaller(t, h)
+		go func() {
+			_, _ = io.WriteString(c, post("/long-once/x", "Content-Length: 1048576")+string(distinctBytes(1<<20)))
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+		_ = c.Close()
+	}
+}
