--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -84,7 +84,11 @@
 
 // Sendable reports whether the body can be sent from its start: no attempt has read beyond the
 // buffer.
-func (b *Body) Sendable() bool { return !b.consumed() }
+func (b *Body) Sendable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.streamed && !b.closed
+}
 
 // Close frees the buffer. Attempts that still read from the body get an error, so Close must
 // not be called before the answer has ended: a server may answer before it has read the body.
@@ -217,10 +221,3 @@
 	e := *b.readErr
 	return &e
 }
-
-// consumed reports whether the body can no longer be sent from its start.
-func (b *Body) consumed() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.streamed || b.closed
-}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -259,7 +259,7 @@
 		x.body, err = OpenBody(x.req.In, x.req.BodyLimit)
 		return err
 	}
-	if x.body.consumed() {
+	if !x.body.Sendable() {
 		return result.Wrap(errBodyConsumed, result.Internal, "request %s", x.req.RequestID)
 	}
 	return nil
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -101,7 +101,7 @@
 
 // boundCallers returns a handler that calls next. It bounds how slowly callers may send the
 // bodies of their requests and read the ends of their answers, and deals with the part of a
-// body that next has not read.
+// body that next has not read. next must not use a hijacked connection after it has returned.
 func boundCallers(next http.Handler, l Limits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		rc := http.NewResponseController(w)
--- a/pkg/steer/early_answer_test.go
+++ b/pkg/steer/early_answer_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
 )
 
 // distinctBytes returns up to 1 MiB without a repeated stretch, so that a missing part shows.
@@ -88,20 +89,44 @@
 // acknowledges everything.
 func TestServerThatPausesReading(t *testing.T) {
 	body := distinctBytes(1 << 20)
-	received := make(chan []byte, 1)
-	h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": func(w http.ResponseWriter, r *http.Request) {
-		head, _ := io.ReadAll(io.LimitReader(r.Body, 40<<10))
-		time.Sleep(lateness)
-		rest, _ := io.ReadAll(r.Body)
-		received <- append(head, rest...)
-		answerOK(w, r)
-	}})
-	c := dialCaller(t, h)
-	go func() {
-		_, _ = fmt.Fprintf(c, "POST /long-once/x HTTP/1.1\r\nHost: a.example\r\nReq-Id: r1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	}()
-	require.NoError(t, expectAnswer(bufio.NewReader(c), "answer"))
-	require.True(t, bytes.Equal(body, <-received))
+	for name, pause := range map[string]time.Duration{
+		"before its answer": lateness,
+		"after its answer":  forward.DefaultUploadStall - time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			received := make(chan []byte, 1)
+			h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet {
+					answerOK(w, r)
+					return
+				}
+				rc := http.NewResponseController(w)
+				_ = rc.EnableFullDuplex()
+				head, _ := io.ReadAll(io.LimitReader(r.Body, 40<<10))
+				if name == "after its answer" {
+					w.Header().Set("Content-Length", "6")
+					answerOK(w, r)
+					_ = rc.Flush()
+				}
+				time.Sleep(pause)
+				rest, rerr := io.ReadAll(r.Body)
+				println(name, len(head), len(rest), fmt.Sprint(rerr))
+				received <- append(head, rest...)
+				if name == "before its answer" {
+					answerOK(w, r)
+				}
+			}})
+			c := dialCaller(t, h)
+			go func() {
+				_, _ = io.WriteString(c, post("/long-once/x", fmt.Sprintf("Content-Length: %d", len(body)))+string(body)+nextRequest)
+			}()
+			r := bufio.NewReader(c)
+			require.NoError(t, expectAnswer(r, "answer"))
+			require.True(t, bytes.Equal(body, <-received))
+			require.NoError(t, expectAnswer(r, "answer"), "the connection was not kept")
+		})
+	}
 }
 
 // Guards against losing the answer of a server that refuses a long body and closes the
