Report a stalled body as such, test failures while the caller pauses

A caller that stalled in a long body sometimes got no answer in place of 502: when a read from the caller fails, net/http ends the request's context first, and the upload was given up as if the caller had left. Failures now wait up to 0.1 s for the read to return.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -207,6 +207,9 @@
 // answer's body were read.
 func (a *Answer) readError(err error, n int64) *result.Error {
 	x := a.x
+	if berr := x.bodyFailure(); berr != nil {
+		return berr.WithRun(result.Unknown)
+	}
 	switch x.cancelCode() {
 	case result.CallerGone:
 		return result.Wrap(err, result.CallerGone, "the caller left during the answer").WithRun(result.Unknown)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -367,7 +367,7 @@
 	if x.curAttempt.cancelUnsent() {
 		run = result.NotRun
 	}
-	if berr := x.body.failure(); berr != nil {
+	if berr := x.bodyFailure(); berr != nil {
 		return berr.WithRun(run)
 	}
 	server := x.req.Server
@@ -391,6 +391,15 @@
 	return result.Wrap(err, x.connLostCode, "the connection to %s failed", server).WithRun(run)
 }
 
+// bodyFailure returns why the caller's body could not be read, or nil. If a read from the
+// caller fails, net/http ends the context of the request before the read returns.
+func (x *exchange) bodyFailure() *result.Error {
+	if x.upload != nil && x.req.In.Context().Err() != nil {
+		x.upload.waitSent(failedReadTimeout)
+	}
+	return x.body.failure()
+}
+
 // malformed reports whether err is due to a malformed answer rather than a
 // failed connection. net/http exports no errors for this, so the texts are
 // compared; TestFailingServers fails if they change.
--- a/pkg/forward/upload.go
+++ b/pkg/forward/upload.go
@@ -78,6 +78,19 @@
 	}
 }
 
+// failedReadTimeout is how long a read from the caller may take to return after it has failed.
+const failedReadTimeout = 100 * time.Millisecond
+
+// waitSent waits until the request has been sent or cannot be, for the given time at most.
+func (u *upload) waitSent(limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-u.sent:
+	case <-timer.C:
+	}
+}
+
 // isSent reports whether the request has been sent or cannot be.
 func (u *upload) isSent() bool {
 	select {
--- a/pkg/steer/body_limits_test.go
+++ b/pkg/steer/body_limits_test.go
@@ -33,6 +33,8 @@
 	// stops means that the server reads the body only when the caller's connection has
 	// ended.
 	stops bool
+	// resets means that the server resets the connection instead of reading the body.
+	resets bool
 	// request is sent at once; then comes body, if it is set.
 	request string
 	body    io.Reader
@@ -67,6 +69,8 @@
 	for name, tc := range map[string]limitCase{
 		"caller stops, no answer":                        {request: post("/long-once/x", long) + beginning, status: 502, after: stall, closed: stall},
 		"caller stops in the buffer, no answer":          {request: post("/long-once/x", long) + "x", status: 408, after: stall, closed: stall},
+		"caller stops, server resets":                    {resets: true, request: post("/long-once/x", long) + beginning, status: 502, closed: time.Nanosecond},
+		"caller stops, deadline first":                   {request: post("/long-once/x", long+deadline) + beginning, status: 504, after: limitDeadline, closed: limitDeadline},
 		"caller stops, answer begun":                     {serverAnswer: streamed, request: post("/long-once/x", long) + beginning, status: 200, answer: "done", cut: true, after: stall, closed: stall},
 		"caller stops, answer whole":                     {serverAnswer: wholeAnswer, request: post("/long-once/x", long) + beginning, status: 200, answer: "done", closed: stall},
 		"caller stops, answer in chunks whole":           {serverAnswer: streamed + "0\r\n\r\n", request: post("/long-once/x", long) + beginning, status: 200, answer: "done", after: stall, closed: stall},
@@ -113,6 +117,11 @@
 				}
 				requests <- r.URL.Path
 				_, _ = io.WriteString(c, tc.serverAnswer)
+				if tc.resets {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					bodies <- io.ErrUnexpectedEOF
+					return
+				}
 				if tc.stops {
 					<-callerEnded
 				}
