--- a/pkg/steer/body_limits_test.go
+++ b/pkg/steer/body_limits_test.go
@@ -26,7 +26,8 @@
 	limitMargin = 3 * time.Second
 )
 
-// limitCase is a request whose caller or server stops in the middle of the body.
+// limitCase is a request whose caller or server stops in the middle of the body, so that the
+// caller's connection cannot be kept.
 type limitCase struct {
 	// serverAnswer is sent before the body is read.
 	serverAnswer string
@@ -38,18 +39,15 @@
 	// request is sent at once; then comes body, if it is set.
 	request string
 	body    io.Reader
-	// status and answer are what the caller gets before after has passed; status 0 stands
-	// for a connection that ends without an answer.
+	// status and answer are what the caller gets; cut means that the answer breaks off.
 	status int
 	answer string
-	// cut means that the answer does not end properly.
-	cut bool
-	// after is when the answer ends.
-	after time.Duration
-	// closed is when the caller's connection ends, if it is not kept.
-	closed time.Duration
+	cut    bool
+	// after and closed are when the answer and the caller's connection end.
+	after, closed time.Duration
 }
 
+// post returns the head of a request with the given headers.
 func post(path, headers string) string {
 	return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nReq-Id: r1\r\n" + headers + "\r\n\r\n"
 }
@@ -208,27 +206,33 @@
 }
 
 // Guards against closing the connection of a caller whose request is rejected although its body
-// arrives at once or a little later.
+// arrives at once or a little later, and against taking the body for the next request.
 func TestRejectionKeepsConnection(t *testing.T) {
 	h, _, _ := startTestHost(t, map[string]http.HandlerFunc{"s1": answerOK})
 	for _, size := range []int{1, 4 << 10, 100 << 10, 256 << 10} {
 		for _, framing := range []string{fmt.Sprintf("Content-Length: %d", size), "Transfer-Encoding: chunked"} {
-			c := dialCaller(t, h)
-			body := string(distinctBytes(size))
-			if framing == "Transfer-Encoding: chunked" {
-				body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body)
+			for _, later := range []bool{false, true} {
+				c := dialCaller(t, h)
+				body := string(distinctBytes(size))
+				if framing == "Transfer-Encoding: chunked" {
+					body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body)
+				}
+				head, rest := post("/none/x", framing), body+nextRequest
+				if !later {
+					head, rest = head+rest, ""
+				}
+				_, err := io.WriteString(c, head)
+				require.NoError(t, err)
+				r := bufio.NewReader(c)
+				resp, err := http.ReadResponse(r, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusNotFound, resp.StatusCode)
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.NoError(t, err)
+				_, err = io.WriteString(c, rest)
+				require.NoError(t, err)
+				require.NoError(t, expectAnswer(r, "answer"), "%d bytes, %s, later %v", size, framing, later)
 			}
-			_, err := io.WriteString(c, post("/none/x", framing))
-			require.NoError(t, err)
-			r := bufio.NewReader(c)
-			resp, err := http.ReadResponse(r, nil)
-			require.NoError(t, err)
-			require.Equal(t, http.StatusNotFound, resp.StatusCode)
-			_, err = io.Copy(io.Discard, resp.Body)
-			require.NoError(t, err)
-			_, err = io.WriteString(c, body+nextRequest)
-			require.NoError(t, err)
-			require.NoError(t, expectAnswer(r, "answer"), "%d bytes, %s", size, framing)
 		}
 	}
 }
