Refuse answers with an odd status or field name, or cut by a reset, wherever read

Callers got a part of an answer as complete when a server answered a long upload at once, without a length, and reset the connection while the upload was being sent. They also got answers with status 000, and answers whose field names held blanks, also before the colon, with a body that was framed by something else.

Cause: Linux reports a reset once. The write of the upload consumed the error, and the read of the answer saw the end of the stream, which ends an answer without a length. net/http accepts any three digits as a status, any version, and names with blanks; uploads took a status under 100 for an interim answer.

Change: an answer that only the end of the stream ends is cut off if a write on its connection has failed. pkg/httpanswer checks status, version, names and values of fields and trailers. It is used for servers, uploads, entry hosts, both stores, probes, feeds and the caller library.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -23,6 +23,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/api"
+	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
@@ -97,10 +98,10 @@
 		cfg.Tries = DefaultTries
 	}
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: &http.Transport{
+		cfg.HTTP = &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
 			DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
-		}}
+		})}
 	}
 	return &Client{cfg: cfg, cache: map[string]cacheEntry{}, avoid: map[string]time.Time{}}
 }
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -24,6 +24,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/retry"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/tablesync"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
+	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/peer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/platform"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
@@ -126,7 +127,7 @@
 		pools:   map[string]*pool{}, budgets: map[string]*retry.Budget{}, transient: map[string]transientPeer{},
 		names: map[string]string{}, addresses: map[string]string{}, ended: map[string]time.Time{}, removed: map[string]time.Time{}, withdrawn: map[string]bool{}, rng: newRand(),
 		links: newLinks(now, cfg), forwarder: forward.New(forward.Config{}),
-		probes:   &http.Client{Timeout: probeTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}},
+		probes:   &http.Client{Timeout: probeTimeout, Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second})},
 		logLimit: rate.NewLimiter(rate.Limit(cfg.Log.LinesPerSecond), cfg.Log.LinesPerSecond),
 	}
 	id := once.Identity{Domain: domain, Host: name, Incarnation: h.incarnation}
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -256,7 +257,8 @@
 	w.WriteHeader(a.Status)
 	var n int64
 	var err *result.Error
-	if a.complete {
+	streamed := !a.complete
+	if !streamed {
 		n, err = a.copyBuffered(w)
 	} else {
 		n, err = a.stream(w)
@@ -264,14 +266,27 @@
 	if err != nil {
 		return n, err
 	}
-	if !a.complete {
+	if streamed {
+		if err := httpanswer.CheckFields(a.resp.Trailer); err != nil {
+			return n, result.Wrap(err, result.BadAnswer, "%s sent malformed trailers", a.x.req.Server).WithRun(result.Unknown)
+		}
 		a.complete = true
 		a.copyTrailers(h)
 	}
 	a.finishUpload(w)
+	if streamed && a.endsWithStream() && a.x.conn.raw.wasReset() {
+		return n, result.New(result.TruncatedAnswer, "%s reset the connection after %d bytes of an answer without a length", a.x.req.Server, n).
+			WithRun(result.Unknown)
+	}
 	return n, nil
 }
 
+// endsWithStream reports whether only the end of the stream ends the body. The end of a
+// connection that was reset could be anywhere in it.
+func (a *Answer) endsWithStream() bool {
+	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0
+}
+
 // finishUpload lets the server read the rest of the request's body, if it has answered before.
 // A server that refused or failed the request needs no more of it.
 func (a *Answer) finishUpload(w http.ResponseWriter) {
--- a/pkg/forward/belief.go
+++ b/pkg/forward/belief.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"strings"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -64,6 +65,9 @@
 	if isRunTogether(resp) {
 		return x.doubt(DoubtRunTogether, "%s began another answer within the head of one", x.req.Server)
 	}
+	if err := httpanswer.CheckHead(resp); err != nil {
+		return result.Wrap(err, result.BadAnswer, "%s sent a malformed answer", x.req.Server).WithRun(result.Unknown)
+	}
 	switch {
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return result.New(result.BadAnswer, "%s switched protocols", x.req.Server).WithRun(result.Unknown)
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -81,6 +83,9 @@
 	received atomic.Int64
 	// stallLimit, if not 0, bounds each write, in nanoseconds.
 	stallLimit atomic.Int64
+
+	writing     sync.Mutex // held during a write; guards writeFailed
+	writeFailed bool       // a write has failed, other than by its deadline
 }
 
 // limitStalls bounds each write from now on, also one that is in progress.
@@ -99,11 +104,24 @@
 	if limit := c.stallLimit.Load(); limit > 0 {
 		_ = c.SetWriteDeadline(time.Now().Add(time.Duration(limit)))
 	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
+	c.writeFailed = c.writeFailed || err != nil && !stderrors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
+// wasReset reports whether a write has failed because of the connection, and ends a write in
+// progress. The kernel reports a reset once: if a write consumes the error, reads see the end
+// of the stream instead.
+func (c *rawConn) wasReset() bool {
+	_ = c.SetWriteDeadline(past) // fails only if the connection is closed
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeFailed
+}
+
 // Read counts the received bytes.
 func (c *rawConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/pkg/forward/upload.go
+++ b/pkg/forward/upload.go
@@ -144,7 +144,7 @@
 			return nil, r.err
 		case err != nil:
 			return nil, fmt.Errorf("%w: %w", errMalformedAnswer, err)
-		case resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols:
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols:
 			r.left = math.MaxInt64
 			return resp, nil
 		}
--- a/pkg/peer/mesh.go
+++ b/pkg/peer/mesh.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -133,7 +134,7 @@
 		rng:   rand.New(rand.NewPCG(cfg.Seed, 1)),
 		hosts: map[string]*host{}, links: map[*link]struct{}{}, calls: map[uint64]*call{},
 	}
-	m.client = &http.Client{Transport: &http.Transport{DialContext: m.dialRaw, DisableKeepAlives: true}}
+	m.client = &http.Client{Transport: httpanswer.NewTransport(&http.Transport{DialContext: m.dialRaw, DisableKeepAlives: true})}
 	return m, nil
 }
 
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/restcall"
 )
 
@@ -97,7 +98,7 @@
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
-	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+	client := &http.Client{Transport: httpanswer.NewTransport(transport), CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}
 	return &Client{timeout: o.Timeout, wait: o.Wait, http: &restcall.JSONClient{
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -16,6 +16,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
 
@@ -60,7 +61,7 @@
 }
 
 func newStoreFeeds(now time.Time) *storeFeeds {
-	f := &storeFeeds{started: now, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+	f := &storeFeeds{started: now, client: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second})}}
 	for k := range f.replicas {
 		f.replicas[k] = feed.NewReplica()
 		// The replicas start at the age from which on they count as stale, so that
