Do not take a server out of use for what callers or this host did

Callers got 503 from servers that were sound. A host may have 32 connections to a server. At that limit a request failed with connect-failed, which took the server for unreachable: no request went there for a time, also none that would have found an idle connection. A caller that stalled in a long body counted as a failure of the server that waited for it. Clients that hold connections or stall could so take all servers of a host out of use.

The limit now has a code of its own, 3010 conns-in-use (503, not run), and neither it nor a caller's stalled or invalid body says anything of the server. A request whose body stalled is not sent to another server either.

TestPoolIsBoundedAndSwept expects the new code, and is otherwise as it was. TestFaultsOfOthersSayNothingOfTheServer fails before. TestUploadsThatServersDoNotRead logged "no server of pool p accepts the request" for half a minute before.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -383,6 +383,8 @@
 	case strings.HasPrefix(err.Error(), "http: invalid"):
 		// net/http found an invalid method, header or trailer in the request.
 		return result.Wrap(err, result.BadRequest, "the request cannot be forwarded").WithRun(run)
+	case stderrors.Is(err, errTooManyConns):
+		return result.Wrap(err, result.ConnsInUse, "no connection to %s is free", server)
 	case run == result.NotRun:
 		return result.Wrap(err, result.ConnectFailed, "no connection to %s", server)
 	case malformed(err):
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -53,6 +53,7 @@
 	BadAnswer       Code = 3007
 	RelayFailed     Code = 3008
 	WrongServer     Code = 3009
+	ConnsInUse      Code = 3010
 )
 
 // Codes for idempotency keys.
@@ -159,6 +160,7 @@
 	{BadAnswer, "bad-answer", http.StatusBadGateway, exitBackend, "The answer is malformed or belongs to another request."},
 	{RelayFailed, "relay-failed", http.StatusBadGateway, exitBackend, "The connection to another entry host failed after the request was sent."},
 	{WrongServer, "wrong-server", http.StatusServiceUnavailable, exitBackend, "Another backend server has the address and did not run the request."},
+	{ConnsInUse, "conns-in-use", http.StatusServiceUnavailable, exitBackend, "All connections that the entry host may have to the backend server are in use."},
 
 	{KeyInProgress, "key-in-progress", http.StatusConflict, exitKey, "A request with this key is running."},
 	{KeyAlreadyRun, "key-already-run", http.StatusConflict, exitKey, "A request with this key ran; its answer is no longer stored."},
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -335,7 +335,7 @@
 	switch {
 	case x.callerRequest.Context().Err() != nil || x.attempts >= x.route.MaxAttempts || time.Now().After(x.deadline):
 		return false
-	case err != nil && (err.Code == result.CallerGone || err.Code == result.BodyTooLarge || err.Code == result.BadRequest || err.Code == result.DeadlineExpired):
+	case err != nil && (err.Code == result.CallerGone || err.Code == result.BodyTooLarge || err.Code == result.SlowSender || err.Code == result.BadRequest || err.Code == result.DeadlineExpired):
 		return false
 	case !notRun && !mayRunAgain:
 		return false
@@ -360,7 +360,8 @@
 		return placing.Misdirected
 	case result.ConnectFailed:
 		return placing.Unreachable
-	case result.CallerGone:
+	case result.CallerGone, result.SlowSender, result.BodyTooLarge, result.BadRequest, result.ConnsInUse:
+		// The reason is the caller, or this host: it says nothing of the server.
 		return placing.Abandoned
 	}
 	return placing.Failed
