Bound the entry hosts that are known from datagrams alone, and their log lines

Any program can send datagrams in which an entry host describes itself. Each one took memory for good if its region was another one: only silent hosts of the own region are forgotten. When they fell silent, each was logged, past the limit on log lines.

A published host always becomes known. The line about a silent host counts against log.rate.

TestHostsThatAreNotPublishedAreBounded shows the decision.

--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -109,7 +109,11 @@
 	l.Warn().Int64("late_ms", late.Milliseconds()).Int64("held", held).Msg(msg)
 }
 
-func (l *eventLog) peerLost(name string) { l.Warn().Str("peer", name).Msg("peer is silent") }
+func (l *eventLog) peerLost(name string) {
+	if l.allow() {
+		l.Warn().Str("peer", name).Msg("peer is silent")
+	}
+}
 
 func (l *eventLog) peerRegained(name string, silent time.Duration) {
 	l.Info().Str("peer", name).Int64("silent_ms", silent.Milliseconds()).Msg("peer is heard again")
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -30,6 +30,9 @@
 	// supersededBy. It is longer than the delay of datagrams in the network and
 	// than any beacon interval.
 	minRestartGap = 500 * time.Millisecond
+	// maxUnpublished bounds the hosts that describe themselves in datagrams and are not in
+	// the list of published hosts. It is above the number of hosts that start together.
+	maxUnpublished = 1024
 	// joinPeriod is how long beacons and digests include descriptions after a host
 	// has become known for the first time.
 	joinPeriod = 2 * time.Second
@@ -39,6 +42,8 @@
 type peerState struct {
 	host fleet.EntryHost
 	addr netip.AddrPort
+	// published is set if the host is in the list of published hosts.
+	published bool
 	// heardAt is when a beacon of the host last reached this host or the sender of
 	// a digest. It is zero until a beacon or a digest has arrived.
 	heardAt time.Time
@@ -76,6 +81,14 @@
 
 func (p *peerState) alive(now time.Time) bool { return now.Sub(p.heardAt) < p.timeout() }
 
+// lastNews returns when the host was last heard of, or when it became known.
+func (p *peerState) lastNews() time.Time {
+	if p.heardAt.After(p.knownSince) {
+		return p.heardAt
+	}
+	return p.knownSince
+}
+
 // peers is the list of the other entry hosts of all regions.
 type peers struct {
 	self    fleet.EntryHost
@@ -83,6 +96,8 @@
 
 	mu    sync.RWMutex
 	hosts map[string]*peerState
+	// unpublished is the number of hosts that are not published.
+	unpublished int
 	// nameByID maps the sightingID of each host to its name.
 	nameByID map[uint32]string
 	// group is the set of names of the other hosts of this host's group.
@@ -119,11 +134,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.hosts[h.Name]
+	published := describedAt.IsZero() || known != nil && known.published
+	if known != nil && published && !known.published {
+		known.published = true
+		p.unpublished--
+	}
+	if known == nil && !published {
+		if p.unpublished >= maxUnpublished {
+			p.forgetSilent(describedAt)
+		}
+		if p.unpublished >= maxUnpublished {
+			return errors.Errorf("entry host %.64q ignored: %d hosts are not in the published list", h.Name, p.unpublished)
+		}
+		p.unpublished++
+	}
 	if known == nil || known.host.StartedMS < h.StartedMS || !describedAt.IsZero() && known.supersededBy(describedAt, h.StartedMS) {
 		if known != nil {
 			delete(p.nameByID, sightingID(known.host))
 		}
-		p.hosts[h.Name] = &peerState{host: h, addr: addr, knownSince: time.Now()}
+		p.hosts[h.Name] = &peerState{host: h, addr: addr, published: published, knownSince: time.Now()}
 		p.nameByID[sightingID(h)] = h.Name
 		if h.Region == p.self.Region {
 			p.lastJoin = time.Now()
@@ -133,6 +162,26 @@
 	return nil
 }
 
+// forgetSilent removes the unpublished hosts that have been silent for forgetAfter. The
+// caller holds the lock.
+func (p *peers) forgetSilent(now time.Time) {
+	for name, s := range p.hosts {
+		if !s.published && now.Sub(s.lastNews()) > forgetAfter {
+			p.remove(name, s)
+		}
+	}
+}
+
+// remove removes a host. The caller holds the lock.
+func (p *peers) remove(name string, s *peerState) {
+	delete(p.hosts, name)
+	delete(p.nameByID, sightingID(s.host))
+	p.groupOutdated = true
+	if !s.published {
+		p.unpublished--
+	}
+}
+
 // updateGroup computes the members of this host's group again if hosts came or
 // went. The caller holds the lock.
 func (p *peers) updateGroup() {
@@ -369,9 +418,7 @@
 			continue
 		}
 		if !s.heardAt.IsZero() && now.Sub(s.heardAt) > forgetAfter {
-			delete(p.hosts, name)
-			delete(p.nameByID, sightingID(s.host))
-			p.groupOutdated = true
+			p.remove(name, s)
 			continue
 		}
 		if p.group[name] {
--- a/pkg/steer/peers_test.go
+++ b/pkg/steer/peers_test.go
@@ -194,3 +194,32 @@
 	require.Equal(t, other.Name, p.nameByID[sightingID(restarted)])
 	require.NotContains(t, p.nameByID, sightingID(other))
 }
+
+// Guards against memory that fills with hosts that do not exist: any program can send
+// datagrams in which a host describes itself. Hosts that are published, or that are found to
+// be published later, always become known.
+func TestHostsThatAreNotPublishedAreBounded(t *testing.T) {
+	now := time.Now()
+	p := newPeers(fleet.EntryHost{Name: "self", Region: "a"})
+	ghost := func(i int) fleet.EntryHost {
+		return fleet.EntryHost{Name: fmt.Sprintf("ghost-%d", i), Region: "x", PeerAddress: "127.0.0.1:1", StartedMS: 1}
+	}
+	for i := range maxUnpublished {
+		require.NoError(t, p.addDescribed(now, ghost(i)))
+	}
+	require.Error(t, p.addDescribed(now, ghost(maxUnpublished)))
+	require.Equal(t, maxUnpublished+1, p.count())
+	// One that is known may be replaced by its next process, and be published.
+	next := ghost(0)
+	next.StartedMS = 2
+	require.NoError(t, p.addDescribed(now, next))
+	require.NoError(t, p.addPublished(next))
+	require.NoError(t, p.addDescribed(now, ghost(maxUnpublished)), "a published host no longer counts")
+	for _, h := range regionHosts(700) {
+		require.NoError(t, p.addPublished(h))
+	}
+	// Once they have been silent, they make place for others.
+	later := now.Add(forgetAfter + time.Second)
+	require.NoError(t, p.addDescribed(later, ghost(maxUnpublished+1)))
+	require.Equal(t, 1+1+700+1, p.count())
+}
