Bound what clients hold: connections, receive buffers, bodies, streams

Clients that do not keep to the limits ended a process: it ran out of memory. Requests sent ahead, their answers unread, waited in receive buffers; heads that do not end filled the heap; connections that carry nothing took all descriptors; HTTP/2 streams that are cancelled at once were opened faster than their requests ended.

Nothing bounded the sum of what clients hold. Now pkg/core/intake divides the memory and the descriptors of the process (limits.memory_mb, limits.descriptors; by default those of the machine) among clients and servers, and pkg/intake keeps each listener within its share. A full listener closes the connection of the client that has kept the host waiting for the longest, then one that has sent nothing, then an idle one; a connection whose request is being served is never closed. Receive buffers shrink as connections grow in number, buffers of bodies grow with what has arrived, answers of the other listeners have a time limit, an HTTP/2 connection has 100 streams and smaller windows, and one that cancels 100 streams more than it lets end is closed. While the heap is too large, connections are closed and new requests rejected. Each is counted by listener and reason, and logged once a second.

--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -18,6 +18,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/admin"
 	"github.com/tamarackswitch/tamarackswitch/pkg/api"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/lookup"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/membership"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/once"
@@ -25,6 +26,8 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/tablesync"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
 	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
+	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
+	"github.com/tamarackswitch/tamarackswitch/pkg/machine"
 	"github.com/tamarackswitch/tamarackswitch/pkg/peer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/platform"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
@@ -194,10 +197,11 @@
 	listeners := []struct {
 		field, addr string
 		handler     http.Handler
+		maxConns    func(intake.Shares) int
 	}{
-		{"listen.caller", h.cfg.Listen.Caller, h.callerHandler()},
-		{"listen.peer", h.cfg.Listen.Peer, h.peerHandler()},
-		{"listen.admin", h.cfg.Listen.Admin, h.adminHandler()},
+		{"listen.caller", h.cfg.Listen.Caller, h.callerHandler(), func(s intake.Shares) int { return s.Callers }},
+		{"listen.peer", h.cfg.Listen.Peer, h.peerHandler(), func(s intake.Shares) int { return max(s.Control, minPeerConns) }},
+		{"listen.admin", h.cfg.Listen.Admin, h.adminHandler(), func(s intake.Shares) int { return s.Service }},
 	}
 	var opened []net.Listener
 	for _, l := range listeners {
@@ -210,8 +214,9 @@
 		}
 		opened = append(opened, listener)
 	}
+	shares := intake.Divide(machine.Limits())
 	for i, l := range listeners {
-		h.serve(opened[i], l.handler)
+		h.serve(l.field, opened[i], l.handler, l.maxConns(shares), shares)
 	}
 	h.startControl()
 	h.log.Info().Str("host", h.cfg.Host.Name).Str("domain", h.cfg.Host.Domain).Int64("incarnation", h.incarnation).
@@ -235,8 +240,13 @@
 	return net.Listen("tcp", addr)
 }
 
-func (h *Host) serve(l net.Listener, handler http.Handler) {
-	srv := forward.NewServer(handler, h.callerLimits())
+func (h *Host) serve(field string, opened net.Listener, handler http.Handler, maxConns int, shares intake.Shares) {
+	l := conns.NewListener(opened, conns.Config{
+		MaxConns: maxConns, MaxRequests: shares.Requests, SocketBuffer: shares.SocketBuffer,
+		OnTurnedAway: func(r conns.Reason) { h.metrics.turnedAway.WithLabelValues(field, string(r)).Inc() },
+	})
+	srv := forward.NewServer(l.Handler(handler, http.HandlerFunc(rejectFull)), h.callerLimits())
+	srv.ConnState = l.Track
 	h.servers = append(h.servers, srv)
 	h.tomb.Go(func() error {
 		if err := srv.Serve(l); !stderrors.Is(err, http.ErrServerClosed) {
@@ -246,6 +256,14 @@
 	})
 }
 
+// minPeerConns lets each of the other entry hosts of a large region keep its link.
+const minPeerConns = 256
+
+// rejectFull answers a request that is too many at a time.
+func rejectFull(w http.ResponseWriter, _ *http.Request) {
+	api.WriteRefusal(w, "", result.New(result.HostOverloaded, "this host takes no more requests at a time").WithRetryAfter(retryAdvice))
+}
+
 // Stop ends the host at once and cuts what it holds.
 func (h *Host) Stop() error {
 	h.stopping.Store(true)
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -24,6 +24,8 @@
 	// sent counts peer messages by kind, in number and payload bytes.
 	sent      *prometheus.CounterVec
 	sentBytes *prometheus.CounterVec
+	// turnedAway counts clients by listener and reason.
+	turnedAway *prometheus.CounterVec
 }
 
 var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30}
@@ -50,7 +52,10 @@
 	m.sentBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "peer_payload_sent_bytes_total", Help: "Payload bytes of messages to other entry hosts, by kind.",
 	}, []string{"kind"})
-	m.registry.MustRegister(m.sent, m.sentBytes)
+	m.turnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "turned_away_total", Help: "Connections that were closed and requests that were rejected because of a limit on clients, by listener and reason.",
+	}, []string{"listener", "reason"})
+	m.registry.MustRegister(m.sent, m.sentBytes, m.turnedAway)
 	m.registry.MustRegister(m.requests, m.latency, m.lookups, m.logDrops)
 	m.gauges(h)
 	return m
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -35,10 +35,10 @@
 
 	x        *exchange
 	resp     *http.Response
-	buf      *[BufferBytes]byte // holds a short body; nil if the body is streamed
-	buffered int                // bytes in buf
-	complete bool               // the body was read to its end
-	released bool               // release was called
+	buf      []byte // holds a short body; nil if the body is streamed
+	buffered int    // bytes in buf
+	complete bool   // the body was read to its end
+	released bool   // release was called
 }
 
 // handleResponse checks the head of a response, turns a refusal into an error,
@@ -145,7 +145,7 @@
 	case a.resp.ContentLength < 0 || a.resp.ContentLength > BufferBytes:
 		return nil
 	default:
-		a.buf = buffers.Get().(*[BufferBytes]byte)
+		a.buf = takeBuffer(int(a.resp.ContentLength))
 		n, err := io.ReadFull(a.resp.Body, a.buf[:a.resp.ContentLength])
 		if err != nil {
 			return a.readError(err, int64(n))
@@ -198,10 +198,8 @@
 // its end, the connection is closed, which cancels the request at the server.
 func (a *Answer) Close() {
 	a.release()
-	if a.buf != nil {
-		buffers.Put(a.buf)
-		a.buf = nil
-	}
+	freeBuffer(a.buf)
+	a.buf = nil
 }
 
 // readError returns the result for an error that occurred after n bytes of the
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -19,6 +19,30 @@
 
 var buffers = sync.Pool{New: func() any { return new([BufferBytes]byte) }}
 
+// smallBytes is the size of the buffers in which bodies begin: most are short, and callers
+// that send slowly must not hold more memory than they have sent.
+const smallBytes = 2 << 10
+
+var smallBuffers = sync.Pool{New: func() any { return new([smallBytes]byte) }}
+
+// takeBuffer returns a buffer for n bytes, which may be up to BufferBytes.
+func takeBuffer(n int) []byte {
+	if n <= smallBytes {
+		return smallBuffers.Get().(*[smallBytes]byte)[:]
+	}
+	return buffers.Get().(*[BufferBytes]byte)[:]
+}
+
+// freeBuffer returns a buffer of takeBuffer, unless it is nil.
+func freeBuffer(b []byte) {
+	switch len(b) {
+	case smallBytes:
+		smallBuffers.Put((*[smallBytes]byte)(b))
+	case BufferBytes:
+		buffers.Put((*[BufferBytes]byte)(b))
+	}
+}
+
 // Body is the body of a caller's request. Up to BufferBytes of it are held in
 // memory, and the rest is streamed. It is safe for concurrent use.
 type Body struct {
@@ -26,7 +50,7 @@
 	limit int64 // in bytes; 0 means no limit
 
 	mu            sync.Mutex
-	buf           *[BufferBytes]byte
+	buf           []byte
 	buffered      int  // bytes in buf
 	fullyBuffered bool // buf holds the whole body, which has no trailers
 	streamed      bool // an attempt may have read bytes beyond buf
@@ -48,7 +72,7 @@
 		b.fullyBuffered = true
 		return b, nil
 	}
-	b.buf = buffers.Get().(*[BufferBytes]byte)
+	b.buf = takeBuffer(smallBytes)
 	if err := b.fill(); err != nil {
 		b.Close()
 		return nil, err
@@ -58,7 +82,19 @@
 
 // fill reads up to BufferBytes bytes of the body into buf.
 func (b *Body) fill() *result.Error {
-	n, err := io.ReadFull(b.in.Body, b.buf[:])
+	n, err := io.ReadFull(b.in.Body, b.buf)
+	if err == nil && b.in.ContentLength != int64(n) {
+		large := takeBuffer(BufferBytes)
+		copy(large, b.buf)
+		freeBuffer(b.buf)
+		b.buf = large
+		var more int
+		more, err = io.ReadFull(b.in.Body, large[n:])
+		n += more
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+	}
 	b.buffered = n
 	switch {
 	case b.limit > 0 && int64(n) > b.limit:
@@ -95,10 +131,8 @@
 func (b *Body) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.buf != nil {
-		buffers.Put(b.buf)
-		b.buf, b.buffered = nil, 0
-	}
+	freeBuffer(b.buf)
+	b.buf, b.buffered = nil, 0
 	b.fullyBuffered = false
 	b.closed = true
 }
--- a/pkg/forward/caller_test.go
+++ b/pkg/forward/caller_test.go
@@ -214,7 +214,7 @@
 			env.serve("b", &http.Server{Handler: http.HandlerFunc(handler)})
 			env.entry(Limits{}, 0)
 			client := env.client(h2)
-			for _, n := range []int{0, 1, BufferBytes - 1, BufferBytes, BufferBytes + 1, 10 * BufferBytes} {
+			for _, n := range []int{0, 1, smallBytes - 1, smallBytes, smallBytes + 1, BufferBytes - 1, BufferBytes, BufferBytes + 1, 10 * BufferBytes} {
 				for _, q := range []string{"", "?length"} {
 					want := strings.Repeat("x", n)
 					req, _ := http.NewRequest("PUT", "http://entry:80/"+q, io.MultiReader(strings.NewReader(want)))
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -39,6 +40,9 @@
 	BodyRate  int64
 	// KeepAlive is how long a caller's connection may be idle.
 	KeepAlive time.Duration
+	// AnswerTimeout bounds the time from the head of a request to the end of its answer;
+	// 0 means no limit.
+	AnswerTimeout time.Duration
 }
 
 // WithDefaults returns l with its zero fields filled in.
@@ -76,11 +80,30 @@
 		Handler:           boundCallers(h, l),
 		ReadHeaderTimeout: l.HeadTimeout,
 		IdleTimeout:       l.KeepAlive,
+		WriteTimeout:      l.AnswerTimeout,
 		MaxHeaderBytes:    2 * l.HeadBytes,
 		Protocols:         protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReadFrameSize:              http2FrameBytes,
+			MaxReceiveBufferPerConnection: http2ConnBytes,
+			MaxReceiveBufferPerStream:     http2StreamBytes,
+			WriteByteTimeout:              http2WriteTimeout,
+		},
+		ConnContext: intake.Context,
 	}
 }
 
+// Limits of one HTTP/2 connection.
+const (
+	maxStreams       = 100 // the least that RFC 9113 recommends
+	http2FrameBytes  = 16 << 10
+	http2ConnBytes   = 128 << 10
+	http2StreamBytes = 64 << 10
+	// http2WriteTimeout is how long a client may read nothing of what is sent.
+	http2WriteTimeout = 10 * time.Second
+)
+
 // headerLineOverheadBytes is the size of the separator and the line end of a
 // header line.
 const headerLineOverheadBytes = 4
@@ -148,6 +171,7 @@
 	w      http.ResponseWriter
 	rc     *http.ResponseController
 	limits Limits
+	conn   *intake.Conn // nil if it is not known
 	http2  bool
 	length int64 // announced by the caller, -1 if unknown
 	// expectsContinue is set if the caller may wait for 100 Continue before it sends
@@ -166,7 +190,7 @@
 
 func guardBody(w http.ResponseWriter, rc *http.ResponseController, r *http.Request, l Limits) *guardedBody {
 	b := &guardedBody{
-		ReadCloser: r.Body, w: w, rc: rc, limits: l.WithDefaults(), http2: r.ProtoMajor >= 2,
+		ReadCloser: r.Body, w: w, rc: rc, limits: l.WithDefaults(), conn: intake.FromContext(r.Context()), http2: r.ProtoMajor >= 2,
 		length: r.ContentLength, expectsContinue: r.Header.Get("Expect") != "",
 	}
 	_ = b.rc.EnableFullDuplex() // fails only for writers that do not read from the body either
@@ -182,7 +206,9 @@
 	if err := b.begin(start); err != nil {
 		return 0, err
 	}
+	b.conn.BeginWait()
 	n, err := b.ReadCloser.Read(p)
+	b.conn.EndWait()
 	b.waited += time.Since(start)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/steer/unread_other.go
+++ b/pkg/intake/unread_other.go
@@ -1,6 +1,6 @@
 //go:build !linux || !(amd64 || arm64)
 
-package steer
+package intake
 
 import "net"
 
--- a/pkg/steer/body_callers_test.go
+++ b/pkg/steer/body_callers_test.go
@@ -145,7 +145,6 @@
 	_ = c.SetDeadline(time.Now().Add(2 * waitTimeout)) // the caller's kernel takes some MB of answers
 	<-ended
 	require.Eventually(t, func() bool {
-		open, _ := h.conns.count()
-		return h.held.Load() == 0 && open == 0
+		return h.held.Load() == 0 && h.callers.Count().Open == 0
 	}, waitTimeout, 10*time.Millisecond, "the host holds a connection whose answers nobody reads")
 }
--- a/pkg/steer/helpers_test.go
+++ b/pkg/steer/helpers_test.go
@@ -281,13 +281,9 @@
 	return resp.StatusCode, resp.Header, string(body)
 }
 
-// busy returns the number of connections that are not idle: those that have sent
-// nothing yet, and those with a request in progress.
-func (l *callerConns) busy() (n int) {
-	for _, c := range l.open() {
-		if phase := c.currentPhase(); phase == connNew || phase == connActive {
-			n++
-		}
-	}
-	return n
+// busyConns returns the number of callers' connections that are not idle: those that have
+// sent nothing yet, and those with a request in progress.
+func busyConns(h *Host) int {
+	n := h.callers.Count()
+	return n.Open - n.Idle - n.Closing
 }
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -19,11 +19,13 @@
 	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/overload"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/registry"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/shutdown"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
+	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
@@ -55,9 +57,13 @@
 
 	tomb        tomb.Tomb
 	httpServers []*http.Server
-	// callerListener accepts the connections of callers, and conns tracks them.
-	callerListener net.Listener
-	conns          callerConns
+	// callers accepts the connections of callers; listeners are all that accept connections.
+	callers   *conns.Listener
+	listeners []*conns.Listener
+	shares    intake.Shares
+	// memoryFull is set while the memory for clients is used up.
+	memoryFull       atomic.Bool
+	turnedAwayCounts turnedAwayCounts
 
 	// table is the version of the tables in force, nil before the first one.
 	// Writers hold tableMu.
@@ -109,6 +115,7 @@
 		hostsReadRequested: make(chan struct{}, 1), guard: overload.New(cfg.Limits.Lateness.Std()),
 		feeds: newStoreFeeds(time.Now()), registry: registry.New(time.Now()), pools: map[string]*pool{},
 	}
+	h.shares = intake.Divide(cfg.Limits.machine())
 	h.forward = forward.New(forward.Config{
 		Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdleTimeout,
 		OnDoubt: func(reason forward.Doubt) { h.metrics.doubts.WithLabelValues(string(reason)).Inc() },
@@ -147,17 +154,14 @@
 // code ListenFailed.
 func (h *Host) Start() error {
 	debug.SetMemoryLimit(memoryLimitBytes)
-	for _, l := range []struct {
-		field, address string
-		handler        http.Handler
-	}{
-		{"listen.caller", h.cfg().Listen.Caller, http.HandlerFunc(h.serveRequest)},
-		{"listen.ready", h.cfg().Listen.Ready, h.readyHandler()},
-		{"listen.lookup", h.cfg().Listen.Lookup, h.lookupHandler()},
-		{"listen.control", h.cfg().Listen.Control, h.controlHandler()},
-		{"listen.metrics", h.cfg().Listen.Metrics, h.metricsHandler()},
+	for _, l := range []endpoint{
+		{"listen.caller", h.cfg().Listen.Caller, http.HandlerFunc(h.serveRequest), h.shares.Callers, 0},
+		{"listen.ready", h.cfg().Listen.Ready, h.readyHandler(), h.shares.Service, shortAnswerTimeout},
+		{"listen.lookup", h.cfg().Listen.Lookup, h.lookupHandler(), h.shares.Lookups, shortAnswerTimeout},
+		{"listen.control", h.cfg().Listen.Control, h.controlHandler(), h.shares.Control, longAnswerTimeout},
+		{"listen.metrics", h.cfg().Listen.Metrics, h.metricsHandler(), h.shares.Service, longAnswerTimeout},
 	} {
-		if err := h.serve(l.field, l.address, l.handler); err != nil {
+		if err := h.serve(l); err != nil {
 			return err
 		}
 	}
@@ -168,24 +172,50 @@
 	h.startPeers(conn)
 	h.runEvery(roleInterval, h.chooseRole)
 	h.runEvery(registryExpireInterval, h.expireServers)
+	h.runEvery(memoryInterval, h.checkMemory)
+	h.runEvery(turnedAwayInterval, h.logTurnedAway)
 	h.tomb.Go(h.measureLateness)
 	h.log.start(h)
 	return nil
 }
 
-// serve opens a TCP listener and serves it with handler. field is the setting that
-// holds the address, for errors.
-func (h *Host) serve(field, address string, handler http.Handler) error {
-	l, err := net.Listen("tcp4", address)
+const (
+	// shortAnswerTimeout and longAnswerTimeout bound the answers of the listeners that are
+	// not for callers' requests.
+	shortAnswerTimeout = 5 * time.Second
+	longAnswerTimeout  = 30 * time.Second
+)
+
+// endpoint is a TCP listener and what it serves.
+type endpoint struct {
+	// field is the setting that holds the address.
+	field, address string
+	handler        http.Handler
+	maxConns       int
+	// answerTimeout bounds each answer; 0 means that the handler does so.
+	answerTimeout time.Duration
+}
+
+// serve opens a TCP listener and serves it.
+func (h *Host) serve(e endpoint) error {
+	opened, err := net.Listen("tcp4", e.address)
 	if err != nil {
-		return result.Wrap(err, result.ListenFailed, "%s", field)
+		return result.Wrap(err, result.ListenFailed, "%s", e.field)
 	}
-	srv := forward.NewServer(h.protectHandler(field, handler), forward.Limits{HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, KeepAlive: callerIdleTimeout})
+	l := conns.NewListener(opened, conns.Config{
+		MaxConns: e.maxConns, MaxRequests: h.shares.Requests, SocketBuffer: h.shares.SocketBuffer,
+		Full: h.memoryFull.Load, OnTurnedAway: func(r conns.Reason) { h.turnedAway(e.field, r) },
+	})
+	handler := l.Handler(e.handler, http.HandlerFunc(h.rejectFull))
+	srv := forward.NewServer(h.protectHandler(e.field, handler), forward.Limits{
+		HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, KeepAlive: callerIdleTimeout, AnswerTimeout: e.answerTimeout,
+	})
 	srv.ErrorLog = h.libraryLogger()
+	srv.ConnState = l.Track
 	h.httpServers = append(h.httpServers, srv)
-	if address == h.cfg().Listen.Caller {
-		l = callerListener{l}
-		h.callerListener, srv.ConnState = l, h.conns.track
+	h.listeners = append(h.listeners, l)
+	if e.field == "listen.caller" {
+		h.callers = l
 	}
 	h.tomb.Go(func() error {
 		if err := srv.Serve(l); !stderrors.Is(err, http.ErrServerClosed) && !h.leaving.Load() {
@@ -249,13 +279,12 @@
 	// http.Server.Shutdown is not used because it drops a request that the server
 	// is reading at that moment. Instead, the listener and idle connections are
 	// closed, and requests on the other accepted connections are answered.
-	if err := h.callerListener.Close(); err != nil {
+	if err := h.callers.Close(); err != nil {
 		h.log.warn(err, "could not close the listener for callers")
 	}
-	_, idle := h.conns.count()
-	perRound := shutdown.ClosesPerRound(idle)
-	for h.conns.closeIdle(perRound); wait.For(ctx, closeInterval); h.conns.closeIdle(perRound) {
-		if open, _ := h.conns.count(); open == 0 {
+	perRound := shutdown.ClosesPerRound(h.callers.Count().Idle)
+	for h.callers.CloseIdle(perRound); wait.For(ctx, closeInterval); h.callers.CloseIdle(perRound) {
+		if h.callers.Count().Open == 0 {
 			break
 		}
 	}
@@ -264,8 +293,7 @@
 
 // stopAfterShutdown stops the host and aborts what is still in progress.
 func (h *Host) stopAfterShutdown() error {
-	open, idle := h.conns.count()
-	h.log.shutdownEnds(h, open, idle)
+	h.log.shutdownEnds(h, h.callers.Count())
 	return h.Stop()
 }
 
--- a/pkg/steer/host_test.go
+++ b/pkg/steer/host_test.go
@@ -312,7 +312,7 @@
 	conn, err := net.Dial("tcp4", h.self.CallerAddress)
 	require.NoError(t, err)
 	defer conn.Close()
-	require.Eventually(t, func() bool { return h.conns.busy() == 1 }, waitTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return busyConns(h) == 1 }, waitTimeout, time.Millisecond)
 	stopped := make(chan error, 1)
 	go func() { stopped <- h.Shutdown(context.Background()) }()
 	require.Eventually(t, func() bool {
@@ -367,7 +367,7 @@
 	require.NoError(t, idle.SetReadDeadline(time.Now().Add(waitTimeout)))
 	_, err = idle.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
-	require.Equal(t, 1, h.conns.busy(), "the connection with a request in progress stays open")
+	require.Equal(t, 1, busyConns(h), "the connection with a request in progress stays open")
 	// Requests that are read while connections are being closed, and whose
 	// deadline may be after the exit of the process.
 	w := httptest.NewRecorder()
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -13,6 +13,7 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/shutdown"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -65,15 +66,15 @@
 }
 
 func (l *eventLog) leaving(h *Host, p *shutdown.Plan) {
-	open, idle := h.conns.count()
-	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Int("open", open).Int("idle", idle).
+	n := h.callers.Count()
+	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Int("open", n.Open).Int("idle", n.Idle).
 		Int64("late_ms", h.guard.Peak(time.Now()).Milliseconds()).Int64("end_ms", time.Until(p.End).Milliseconds()).Msg("entry host is leaving")
 }
 
 // shutdownEnds logs what is aborted at the end of a shutdown: held requests, and
 // connections of which some are idle.
-func (l *eventLog) shutdownEnds(h *Host, open, idle int) {
-	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Int("open", open).Int("idle", idle).Msg("shutdown ends")
+func (l *eventLog) shutdownEnds(h *Host, n conns.Counts) {
+	l.Info().Str("host", h.self.Name).Int64("held", h.held.Load()).Int("open", n.Open).Int("idle", n.Idle).Msg("shutdown ends")
 }
 
 func (l *eventLog) warn(err error, msg string) {
@@ -131,6 +132,10 @@
 	l.Info().Str("peer", from).Msg("a peer is ahead, fetching its copy of the store")
 }
 
+func (l *eventLog) turnedAway(key turnedAwayKey, clients int) {
+	l.Warn().Str("listener", key.listener).Str("reason", string(key.reason)).Int("clients", clients).Msg("clients turned away")
+}
+
 func (l *eventLog) dispatcher(pool, before, after string, hosts int) {
 	l.Info().Str("pool", pool).Str("before", before).Str("dispatcher", after).Int("hosts", hosts).Msg("dispatcher chosen")
 }
--- a/pkg/steer/metrics.go
+++ b/pkg/steer/metrics.go
@@ -26,6 +26,7 @@
 	refusals           *prometheus.CounterVec
 	notices            *prometheus.CounterVec
 	unreadable         *prometheus.GaugeVec
+	turnedAway         *prometheus.CounterVec
 }
 
 // latencyBuckets are the upper bounds of the histograms' buckets in seconds.
@@ -77,6 +78,9 @@
 	m.unreadable = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "tamarackswitch_steer_unreadable_entries", Help: "Entries of the store that this host reads and cannot decode, by kind.",
 	}, []string{"kind"})
+	m.turnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_turned_away_total", Help: "Connections that were closed and requests that were rejected because of a limit on clients, by listener and reason.",
+	}, []string{"listener", "reason"})
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tamarackswitch_steer_held_requests", Help: "Requests that were read and not answered.",
 	}, func() float64 { return float64(h.held.Load()) })
@@ -91,7 +95,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.doubts, m.refusals, m.notices, m.unreadable, held, late, version)
+	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.doubts, m.refusals, m.notices, m.unreadable, m.turnedAway, held, late, version)
 	h.log.dropped = m.logDropped
 	return m
 }
--- a/pkg/steer/settings.go
+++ b/pkg/steer/settings.go
@@ -10,7 +10,9 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/overload"
+	"github.com/tamarackswitch/tamarackswitch/pkg/machine"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 	"github.com/tamarackswitch/tamarackswitch/pkg/units"
 )
@@ -67,7 +69,8 @@
 	Address string `toml:"address"`
 }
 
-// Limits describe the processor time of the process and when it sheds load.
+// Limits describe the processor time, the memory and the descriptors of the process, and when
+// it sheds load.
 type Limits struct {
 	// CPUShare is the fraction of each core that the process gets.
 	CPUShare float64 `toml:"cpu_share"`
@@ -77,6 +80,24 @@
 	// if it reads data later than this after their arrival. It starts to reject the
 	// least urgent requests at a sixth of it. The default is 150ms.
 	Lateness units.Duration `toml:"lateness"`
+	// MemoryMB is the memory of the process in MB, above which the platform ends it. The
+	// default is the memory of the machine, or of the control group of the process.
+	MemoryMB float64 `toml:"memory_mb"`
+	// Descriptors is the largest number of open descriptors. The default is the limit of
+	// the process.
+	Descriptors int `toml:"descriptors"`
+}
+
+// machine returns what the machine gives to the process.
+func (l Limits) machine() intake.Machine {
+	m := machine.Limits()
+	if l.MemoryMB > 0 {
+		m.MemoryBytes = int64(l.MemoryMB * (1 << 20))
+	}
+	if l.Descriptors > 0 {
+		m.Descriptors = min(m.Descriptors, l.Descriptors)
+	}
+	return m
 }
 
 // Bounds are limits that the deployment prescribes.
@@ -197,6 +218,10 @@
 		return invalid("limits.cores", "%v must be above 0 and at most %v", s.Limits.Cores, maxCores)
 	case s.Limits.Lateness < minDuration:
 		return invalid("limits.lateness", "must be at least %s, with a unit", minDuration)
+	case s.Limits.MemoryMB != 0 && !(s.Limits.MemoryMB >= minMemoryMB && s.Limits.MemoryMB <= maxMemoryMB):
+		return invalid("limits.memory_mb", "%v is not between %v and %v", s.Limits.MemoryMB, minMemoryMB, maxMemoryMB)
+	case s.Limits.Descriptors != 0 && s.Limits.Descriptors < minDescriptors:
+		return invalid("limits.descriptors", "%d is less than %d", s.Limits.Descriptors, minDescriptors)
 	case !slices.Contains(logLevels, s.Log.Level):
 		return invalid("log.level", "%q is not one of %v", s.Log.Level, logLevels)
 	case s.Log.LinesPerSecond <= 0:
@@ -209,10 +234,17 @@
 // above numbers that lack a unit, which are decoded as nanoseconds.
 const minDuration = units.Duration(time.Millisecond)
 
+// Lower bounds of the limits: less does not suffice to serve.
+const (
+	minMemoryMB    = 64
+	minDescriptors = 256
+)
+
 // Upper bounds that only mistyped settings exceed.
 const (
 	maxRetryExtra = 1e9 // retries per window
 	maxCores      = 4096
+	maxMemoryMB   = 1 << 24
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
--- a/test/crowd/system_test.go
+++ b/test/crowd/system_test.go
@@ -83,6 +83,8 @@
 [limits]
 cpu_share = 1.0
 cores = 1.0
+memory_mb = 80
+descriptors = 600
 [bounds]
 grace = "6s"
 lookup_life = "5s"
@@ -260,7 +262,7 @@
 			}
 		}
 		require.True(s.t, s.alive(), "the process has ended %s: %s", when, s.log.text.String())
-		require.NoError(s.t, err, "ordinary request to %s %s", listener, when)
+		require.NoError(s.t, err, "ordinary request to %s %s; the log ends with %s", listener, when, s.log.tail())
 	}
 }
 
@@ -364,3 +366,11 @@
 	assert.Less(s.t, s.descriptors, descriptorBound, "open descriptors")
 	assert.Less(s.t, s.log.written(), logBoundBytes, "bytes logged")
 }
+
+// tail returns the end of the log.
+func (l *logBuffer) tail() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	text := l.text.String()
+	return text[max(0, len(text)-4<<10):]
+}
