Cut off the slowest reader when another request needs its connection to a server

While 1,000 callers read long answers slowly, four of five ordinary requests got 503: each slow reader kept one of the host's 32 connections to a server until its deadline, and uploads that a server did not read kept them in the same way. What servers sent ahead of slow readers filled receive buffers.

Now, when a connection is needed and the limit is reached, idle ones go first, then the answer whose caller has kept it waiting for the longest, if that is 250 ms or more; its caller sees that it is cut. Uploads take at most three quarters of a server's connections. There are limits for all servers together and for answers that are passed on, from the shares of the machine, so that descriptors and memory last. Receive buffers for answers are bounded to 64 KiB (the kernel doubles it).

TestSlowReaderIsCutForOthers and TestSlowReaderIsServedInCalm show both sides.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
+	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -330,17 +331,25 @@
 		// A caller that does not read must not hold a slot past the deadline.
 		_ = rc.SetWriteDeadline(a.x.req.DeadlineAt.Add(a.x.req.AnswerSlack))
 	}
+	s := &stream{conn: a.x.conn, caller: conns.FromContext(a.x.req.In.Context()), rc: rc}
+	count, remove := a.x.f.streams.add(s)
+	defer remove()
+	if limit := a.x.f.cfg.MaxStreams; limit > 0 && count > limit {
+		a.x.f.cutSlowReader(nil)
+	}
 	for {
 		nr, rerr := a.resp.Body.Read(buf[:])
 		if nr > 0 {
+			s.beginWrite()
 			nw, werr := w.Write(buf[:nr])
+			if werr == nil && (a.ContentLength < 0 || a.x.upload != nil && !a.x.upload.isSent()) {
+				_ = rc.Flush() // an error shows in the next write
+			}
+			s.endWrite()
 			n += int64(nw)
 			if werr != nil {
 				return n, a.writeError(werr)
 			}
-			if a.ContentLength < 0 || a.x.upload != nil && !a.x.upload.isSent() {
-				_ = rc.Flush()
-			}
 		}
 		if rerr == io.EOF {
 			return n, nil
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -163,6 +163,9 @@
 		// connection itself.
 		_ = c.raw.Close()
 		c.pool.unreserve()
+		if c.upload {
+			c.pool.unreserveUpload()
+		}
 	})
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -57,6 +57,18 @@
 	ConnsPerServer int
 	// IdlePerServer bounds the idle connections among them.
 	IdlePerServer int
+	// UploadsPerServer bounds the connections to one server that carry an upload, so that
+	// some are left for other requests while the server does not read; default three
+	// quarters of ConnsPerServer.
+	UploadsPerServer int
+	// MaxConns bounds the open connections to all servers; 0 means no limit. At the limit
+	// the connection that was idle for the longest is closed for a new one.
+	MaxConns int
+	// MaxStreams bounds the answers that are passed on while they arrive; 0 means no limit.
+	MaxStreams int
+	// OnSlowReader, if set, is called when an answer is cut off because its caller reads it
+	// slowly and another request needs the connection to the server.
+	OnSlowReader func()
 	// IdleTimeout is how long an idle connection is kept open.
 	IdleTimeout time.Duration
 	// ConnectTimeout bounds the time to open one connection.
@@ -86,6 +98,10 @@
 	// lastConnID is the id of the connection that was opened last.
 	lastConnID atomic.Int64
 
+	streams streams
+	// open counts the open connections to all servers, including those being opened.
+	open atomic.Int64
+
 	mu    sync.Mutex
 	pools map[string]*pool
 }
@@ -98,6 +114,9 @@
 	if cfg.IdlePerServer <= 0 {
 		cfg.IdlePerServer = DefaultIdlePerServer
 	}
+	if cfg.UploadsPerServer <= 0 {
+		cfg.UploadsPerServer = max(cfg.ConnsPerServer*3/4, 1)
+	}
 	if cfg.IdleTimeout <= 0 {
 		cfg.IdleTimeout = DefaultIdleTimeout
 	}
@@ -118,10 +137,10 @@
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: KeepAliveIdle, Interval: KeepAliveInterval, Count: KeepAliveCount,
 			},
-			ControlContext: setUserTimeout,
+			ControlContext: setSocketOptions,
 		}).DialContext
 	}
-	f := &Forwarder{cfg: cfg, now: cfg.Now, pools: map[string]*pool{}}
+	f := &Forwarder{cfg: cfg, now: cfg.Now, pools: map[string]*pool{}, streams: streams{all: map[*stream]struct{}{}}}
 	f.transport = &http.Transport{
 		DialContext:            f.dialRaw,
 		DisableCompression:     true,
@@ -383,7 +402,7 @@
 	case strings.HasPrefix(err.Error(), "http: invalid"):
 		// net/http found an invalid method, header or trailer in the request.
 		return result.Wrap(err, result.BadRequest, "the request cannot be forwarded").WithRun(run)
-	case stderrors.Is(err, errTooManyConns):
+	case stderrors.Is(err, errTooManyConns) || stderrors.Is(err, errTooManyUploads):
 		return result.Wrap(err, result.ConnsInUse, "no connection to %s is free", server)
 	case run == result.NotRun:
 		return result.Wrap(err, result.ConnectFailed, "no connection to %s", server)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -8,7 +8,10 @@
 	"github.com/juju/errors"
 )
 
-const errTooManyConns = errors.ConstError("connection limit of the server reached")
+const (
+	errTooManyConns   = errors.ConstError("connection limit of the server reached")
+	errTooManyUploads = errors.ConstError("limit of the server's connections for uploads reached")
+)
 
 // pool holds the connections to one server.
 type pool struct {
@@ -19,6 +22,7 @@
 	// idle is ordered by the time of the last answer, the most recent last.
 	idle          []*conn
 	open          int       // open connections, including those being opened
+	uploads       int       // those of them that carry an upload
 	lastRequested time.Time // when get was last called
 }
 
@@ -42,10 +46,32 @@
 
 // getForUpload returns a new connection for one upload.
 func (p *pool) getForUpload(ctx context.Context) (*conn, error) {
+	if err := p.reserveUpload(); err != nil {
+		return nil, err
+	}
+	c, err := p.openConn(ctx, p.f.dialUpload)
+	if err != nil {
+		p.unreserveUpload()
+	}
+	return c, err
+}
+
+// reserveUpload counts a connection that will carry an upload, if the limit allows one more.
+func (p *pool) reserveUpload() error {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.lastRequested = p.f.now()
-	p.mu.Unlock()
-	return p.openConn(ctx, p.f.dialUpload)
+	if p.uploads >= p.f.cfg.UploadsPerServer {
+		return errTooManyUploads
+	}
+	p.uploads++
+	return nil
+}
+
+func (p *pool) unreserveUpload() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.uploads--
 }
 
 // openConn opens a connection within the connection limit.
@@ -78,29 +104,85 @@
 	return c
 }
 
-// reserve counts a connection that is about to be opened. At the limit it
-// closes the oldest idle connection, or fails if there is none.
+// reserve counts a connection that is about to be opened. At a limit it closes the oldest
+// idle connection or that of the slowest reader, or fails if there is none.
 func (p *pool) reserve() error {
-	p.mu.Lock()
-	var oldest *conn
-	if p.open >= p.f.cfg.ConnsPerServer {
-		if len(p.idle) == 0 {
-			p.mu.Unlock()
+	if limit := p.f.cfg.MaxConns; limit > 0 && p.f.open.Load() >= int64(limit) && !p.f.closeOldestIdle() && !p.f.cutSlowReader(nil) {
+		return errTooManyConns
+	}
+	for !p.reserveOne() {
+		if !p.closeFirstIdle() && !p.f.cutSlowReader(p) {
 			return errTooManyConns
 		}
-		oldest = p.idle[0]
-		p.idle = append(p.idle[:0], p.idle[1:]...)
+	}
+	return nil
+}
+
+// reserveOne counts a connection if the limit of the server allows one more.
+func (p *pool) reserveOne() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.f.cfg.ConnsPerServer {
+		return false
 	}
 	p.open++
+	p.f.open.Add(1)
+	return true
+}
+
+// closeFirstIdle closes the oldest idle connection and reports whether there was one.
+func (p *pool) closeFirstIdle() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	oldest := p.idle[0]
+	p.idle = append(p.idle[:0], p.idle[1:]...)
 	p.mu.Unlock()
-	if oldest != nil {
-		oldest.close()
+	oldest.close()
+	return true
+}
+
+// oldestIdle returns when the last answer on the oldest idle connection was read, and false
+// if there is none.
+func (p *pool) oldestIdle() (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return time.Time{}, false
 	}
-	return nil
+	return p.idle[0].lastAnswer, true
+}
+
+// closeOldestIdle closes the connection that was idle for the longest, of all servers, and
+// reports whether there was one.
+func (f *Forwarder) closeOldestIdle() bool {
+	var chosen *pool
+	var oldest time.Time
+	for _, p := range f.allPools() {
+		if at, ok := p.oldestIdle(); ok && (chosen == nil || at.Before(oldest)) {
+			chosen, oldest = p, at
+		}
+	}
+	return chosen != nil && chosen.closeFirstIdle()
+}
+
+// cutSlowReader ends the answer of the slowest caller, of the server of p unless p is nil, and
+// reports whether there was one.
+func (f *Forwarder) cutSlowReader(p *pool) bool {
+	if !f.streams.cutSlowest(p) {
+		return false
+	}
+	if f.cfg.OnSlowReader != nil {
+		f.cfg.OnSlowReader()
+	}
+	return true
 }
 
 // unreserve stops counting a connection that was closed or could not be opened.
 func (p *pool) unreserve() {
+	p.f.open.Add(-1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
--- a/pkg/forward/sockopt_other.go
+++ b/pkg/forward/sockopt_other.go
@@ -7,5 +7,5 @@
 	"syscall"
 )
 
-// setUserTimeout does nothing: TCP_USER_TIMEOUT exists on Linux only.
-func setUserTimeout(context.Context, string, string, syscall.RawConn) error { return nil }
+// setSocketOptions leaves the options to the system.
+func setSocketOptions(context.Context, string, string, syscall.RawConn) error { return nil }
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -118,7 +118,9 @@
 	h.shares = intake.Divide(cfg.Limits.machine())
 	h.forward = forward.New(forward.Config{
 		Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdleTimeout,
-		OnDoubt: func(reason forward.Doubt) { h.metrics.doubts.WithLabelValues(string(reason)).Inc() },
+		MaxConns: h.shares.Servers, MaxStreams: h.shares.Streams,
+		OnSlowReader: func() { h.turnedAway("listen.caller", reasonSlowReader) },
+		OnDoubt:      func(reason forward.Doubt) { h.metrics.doubts.WithLabelValues(string(reason)).Inc() },
 	})
 	h.settings.Store(cfg)
 	h.self.Capacity = cfg.Limits.CPUShare * cfg.Limits.Cores
--- a/pkg/steer/intake.go
+++ b/pkg/steer/intake.go
@@ -18,6 +18,9 @@
 	// shedShare is the part of the open connections that is closed at a time while the
 	// memory is used up: one in so many.
 	shedShare = 16
+	// reasonSlowReader means that an answer was cut off because its caller read it slowly,
+	// and another request needed the connection to the server.
+	reasonSlowReader conns.Reason = "slow-reader"
 )
 
 // turnedAwayKey says where and why clients were turned away.
