Serve ordinary callers amid larger crowds: bound heads in sum, requests sent ahead

Clients that send requests ahead never lost their places, and were always before those that waited for one. Parts of heads filled the heap between two garbage collections, and then all new requests were rejected.

The parts of heads have a limit in sum, at which the longest goes. A client that sends requests ahead gets "Connection: close" with each answer while its listener is crowded or the host overloaded. Connections are closed from half of the memory on, requests rejected at 5/8. The limit of the garbage collector follows the live heap, so that it does not run without a pause.

--- a/pkg/core/intake/choose.go
+++ b/pkg/core/intake/choose.go
@@ -46,6 +46,11 @@
 	return best
 }
 
+// Crowded reports whether so many of the connections are open that clients which send requests
+// ahead have to connect anew for each, like all others: on an open connection they would
+// always be ahead of those that wait for one.
+func Crowded(open, limit int) bool { return open*4 >= limit*3 }
+
 // maxCancelled is the number of streams that a client may cancel on an HTTP/2 connection
 // beyond those that it lets end.
 const maxCancelled = 100
--- a/pkg/core/intake/intake_test.go
+++ b/pkg/core/intake/intake_test.go
@@ -67,6 +67,23 @@
 	require.Equal(t, 2, Slowest([]Stream{{0}, {minWait}, {time.Second}, {minWait}}))
 }
 
+// Guards against a garbage collector that runs without a pause while clients hold more memory
+// than the process usually needs.
+func TestCollectorLimit(t *testing.T) {
+	s := Shares{ShedBytes: 104}
+	require.EqualValues(t, 32, s.CollectorLimit(32, 8))
+	require.EqualValues(t, 32, s.CollectorLimit(32, 21))
+	require.EqualValues(t, 60, s.CollectorLimit(32, 40))
+	require.EqualValues(t, 91, s.CollectorLimit(32, 90))
+}
+
+// Guards against clients that send requests ahead and keep the places of all others.
+func TestCrowded(t *testing.T) {
+	require.False(t, Crowded(0, 8))
+	require.False(t, Crowded(5, 8))
+	require.True(t, Crowded(6, 8))
+}
+
 // Guards against a proxy that is cut off because some of its many requests are cancelled.
 func TestCancelsTooOften(t *testing.T) {
 	require.False(t, CancelsTooOften(maxCancelled, 0))
--- a/pkg/core/intake/shares.go
+++ b/pkg/core/intake/shares.go
@@ -24,8 +24,12 @@
 	// Servers is the largest number of open connections to backend servers, and Streams
 	// that of answers that are passed on while they arrive.
 	Servers, Streams int
-	// HeapBytes is the memory of the Go runtime above which clients are turned away.
-	HeapBytes int64
+	// ShedBytes is the memory of the Go runtime above which clients that keep the process
+	// waiting are turned away, and HeapBytes that above which all new requests are.
+	ShedBytes, HeapBytes int64
+	// HeadBytes is the sum of the heads that have arrived in part. A field takes a multiple
+	// of its length in memory.
+	HeadBytes int64
 	// socketBytes is the memory for the receive buffers of all callers' connections.
 	socketBytes int64
 }
@@ -53,12 +57,20 @@
 		Lookups: part(1, 16), Control: part(1, 32), Service: part(1, 64),
 		Servers:   part(5, 16),
 		Streams:   max(int(m.MemoryBytes/8/bytesPerStream), minShare),
-		HeapBytes: m.MemoryBytes * 5 / 8, socketBytes: m.MemoryBytes / 16,
+		ShedBytes: m.MemoryBytes / 2, HeapBytes: m.MemoryBytes * 5 / 8, HeadBytes: m.MemoryBytes / 32, socketBytes: m.MemoryBytes / 16,
 	}
-	s.Requests = s.Callers
+	// Requests whose connection was closed take a moment to end.
+	s.Requests = s.Callers + s.Callers/4
 	return s
 }
 
+// CollectorLimit returns the soft limit on the memory of the Go runtime, from which on the
+// garbage collector runs more often: usual, unless so much of it is in use that the collector
+// would take half of the processor time. It leaves room below ShedBytes.
+func (s Shares) CollectorLimit(usual, live int64) int64 {
+	return max(usual, min(live+live/2, s.ShedBytes*7/8))
+}
+
 const (
 	minSocketBuffer = 16 << 10
 	maxSocketBuffer = 128 << 10
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -81,7 +81,7 @@
 		ReadHeaderTimeout: l.HeadTimeout,
 		IdleTimeout:       l.KeepAlive,
 		WriteTimeout:      l.AnswerTimeout,
-		MaxHeaderBytes:    2 * l.HeadBytes,
+		MaxHeaderBytes:    l.HeadBytes + l.HeadBytes/4,
 		Protocols:         protocols,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams:          maxStreams,
@@ -127,6 +127,9 @@
 // body that next has not read. next must not use a hijacked connection after it has returned.
 func boundCallers(next http.Handler, l Limits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := intake.FromContext(r.Context())
+		conn.Begin()
+		defer func() { conn.End(r.Context().Err() != nil) }()
 		rc := http.NewResponseController(w)
 		var body *guardedBody
 		if r.Body != nil && r.Body != http.NoBody {
--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -41,10 +41,15 @@
 	hijacked bool
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
+	// headBytes is the length of what has arrived of the head of the next request.
+	headBytes int64
 	// writingSince is when the write in progress began, zero if there is none.
 	writingSince time.Time
 	// requests are the requests that handlers work on; waiting of them wait for the client.
 	requests, waiting int
+	// arrivedSinceBegin is set if data has arrived since the last request began, and
+	// sentAhead if the client sends requests before it has the answer to the last one.
+	arrivedSinceBegin, sentAhead bool
 	// waited is how long all of them have waited since there was none, up to waitingSince,
 	// which is zero unless all wait.
 	waited       time.Duration
@@ -93,7 +98,12 @@
 
 // Close closes the connection.
 func (c *Conn) Close() error {
-	c.closed.Do(func() { c.listener.remove(c) })
+	c.closed.Do(func() {
+		c.listener.remove(c)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.setHeadBytes(0)
+	})
 	return c.Conn.Close()
 }
 
@@ -128,9 +138,14 @@
 		c.http2 = true
 	}
 	isHTTP2, ended := c.http2, c.ended
+	c.sentAhead = c.sentAhead || !isHTTP2 && c.requests > 0 && c.waiting == 0
+	c.arrivedSinceBegin = true
 	c.mu.Unlock()
 	if !isHTTP2 {
 		c.setActive()
+		if c.headArrived(len(data)) {
+			c.listener.closeLongestHead()
+		}
 		return
 	}
 	c.streams.read(data)
@@ -151,6 +166,32 @@
 	c.setPhase(phaseActive)
 }
 
+// headArrived notes that n bytes have arrived, and reports whether the heads that have arrived
+// in part are too long in sum.
+func (c *Conn) headArrived(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requests > 0 {
+		return false // of the body, or of the next request
+	}
+	return c.setHeadBytes(c.headBytes + int64(n))
+}
+
+// setHeadBytes sets headBytes, and reports whether the sum of all connections is too large.
+// The caller holds the lock.
+func (c *Conn) setHeadBytes(n int64) bool {
+	sum := c.listener.headBytes.Add(n - c.headBytes)
+	c.headBytes = n
+	limit := c.listener.cfg.HeadBytes
+	return limit > 0 && sum > limit
+}
+
+func (c *Conn) partOfHead() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headBytes
+}
+
 // setIdle notes that the connection is between two requests.
 func (c *Conn) setIdle() {
 	c.mu.Lock()
@@ -220,17 +261,34 @@
 	return c.waiting
 }
 
-// begin notes that a handler begins to work on a request.
-func (c *Conn) begin() {
+// Begin notes that a handler begins to work on a request. End must follow. Both do nothing if
+// c is nil.
+func (c *Conn) Begin() {
+	if c == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.setHeadBytes(0)
 	c.requests++
+	c.sentAhead = c.sentAhead || !c.http2 && !c.arrivedSinceBegin
+	c.arrivedSinceBegin = false
 	c.updateWait()
 }
 
-// end notes that the handler has returned. cancelled is set if the client has cancelled the
+// sendsAhead reports whether the client sends requests of HTTP/1 ahead.
+func (c *Conn) sendsAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sentAhead
+}
+
+// End notes that the handler has returned. cancelled is set if the client has cancelled the
 // request.
-func (c *Conn) end(cancelled bool) {
+func (c *Conn) End(cancelled bool) {
+	if c == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests--
--- a/pkg/intake/listener.go
+++ b/pkg/intake/listener.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,9 +43,14 @@
 	MaxConns int
 	// MaxRequests is the largest number of requests in progress; 0 means MaxConns.
 	MaxRequests int
+	// HeadBytes bounds the sum of the heads of HTTP/1 requests that have arrived in part; 0
+	// means no limit.
+	HeadBytes int64
 	// SocketBuffer returns the size of the buffers of a connection that is accepted while
 	// the given number is open. Nil leaves them to the system.
 	SocketBuffer func(open int) int
+	// Overloaded, if set, reports that the process has too little processor time.
+	Overloaded func() bool
 	// Full, if set, reports that no memory is left for further requests.
 	Full func() bool
 	// OnTurnedAway, if set, is called for each connection that is closed, and for each
@@ -59,6 +65,8 @@
 	// bufferBytes is the size of the buffers of the connections that will be opened; only
 	// Accept uses it.
 	bufferBytes int
+	// headBytes is the sum of the heads that have arrived in part.
+	headBytes atomic.Int64
 
 	mu       sync.Mutex // guards the fields below, and is held only briefly
 	conns    map[*Conn]struct{}
@@ -202,6 +210,22 @@
 	return true
 }
 
+// closeLongestHead closes the connection of a sample whose head, not yet at its end, is the
+// longest.
+func (l *Listener) closeLongestHead() {
+	var chosen *Conn
+	var longest int64
+	for _, c := range l.sample(sampleSize) {
+		if n := c.partOfHead(); n > longest {
+			chosen, longest = c, n
+		}
+	}
+	if chosen != nil {
+		l.turnedAway(ReasonMemory)
+		_ = chosen.Close()
+	}
+}
+
 // Shed closes up to n connections that keep the process waiting, because its memory is used
 // up.
 func (l *Listener) Shed(n int) {
@@ -213,7 +237,7 @@
 }
 
 // Handler returns a handler that calls next for requests that arrived by this listener, and
-// full for those that are too many at a time.
+// full for those that are too many at a time. The server has to call Begin and End.
 func (l *Listener) Handler(next, full http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
@@ -221,8 +245,9 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		c.begin()
-		defer func() { c.end(r.Context().Err() != nil) }()
+		if c.sendsAhead() && l.isCrowded() {
+			w.Header().Set("Connection", "close")
+		}
 		defer l.endRequest()
 		switch {
 		case !l.beginRequest() && !l.closeMostWaiting():
@@ -237,6 +262,11 @@
 	})
 }
 
+// isCrowded reports whether clients that send requests ahead have to connect anew for each.
+func (l *Listener) isCrowded() bool {
+	return intake.Crowded(l.open(), l.cfg.MaxConns) || l.cfg.Overloaded != nil && l.cfg.Overloaded()
+}
+
 // beginRequest counts a request and reports whether it is within the limit.
 func (l *Listener) beginRequest() bool {
 	l.mu.Lock()
--- a/pkg/intake/listener_test.go
+++ b/pkg/intake/listener_test.go
@@ -1,11 +1,13 @@
 package intake
 
 import (
+	"bufio"
 	"context"
 	"encoding/binary"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -83,11 +85,11 @@
 	l := listen(t, Config{MaxConns: 3})
 	busy, _ := l.dial()
 	busy.setActive()
-	busy.begin()
+	busy.Begin()
 	_, silent := l.dial()
 	waiting, waitingClient := l.dial()
 	waiting.setActive()
-	waiting.begin()
+	waiting.Begin()
 	waiting.BeginWait()
 	waiting.mu.Lock()
 	waiting.waited = time.Second // in earlier parts of its body
@@ -98,7 +100,7 @@
 	}{{waitingClient, ReasonWaiting}, {silent, ReasonSilent}} {
 		next, _ := l.dial()
 		next.setActive()
-		next.begin()
+		next.Begin()
 		requireClosed(t, expected.client)
 		require.Equal(t, expected.reason, l.turnedAwayFor()[len(l.turnedAwayFor())-1])
 		require.Equal(t, 3, l.Count().Open)
@@ -110,7 +112,7 @@
 	requireClosed(t, client)
 	require.Equal(t, ReasonFull, l.turnedAwayFor()[2])
 	// One that becomes idle makes place, and its reader closes it.
-	busy.end(false)
+	busy.End(false)
 	busy.setIdle()
 	l.dial()
 	require.Equal(t, ReasonIdle, l.turnedAwayFor()[3])
@@ -150,8 +152,8 @@
 			var err error
 			for b := make([]byte, 22); err == nil; {
 				for range c.endedPerStep {
-					conn.begin()
-					conn.end(false)
+					conn.Begin()
+					conn.End(false)
 				}
 				_, err = conn.Read(b)
 			}
@@ -174,13 +176,13 @@
 	many, manyClient := l.dial()
 	ordinary, _ := l.dial()
 	served, rejected := 0, 0
-	handler := l.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }), http.HandlerFunc(func(http.ResponseWriter, *http.Request) { rejected++ }))
+	handler := marked(l.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }), http.HandlerFunc(func(http.ResponseWriter, *http.Request) { rejected++ })))
 	ask := func(c *Conn) {
-		handler.ServeHTTP(nil, (&http.Request{}).WithContext(Context(context.Background(), c)))
+		handler.ServeHTTP(httptest.NewRecorder(), (&http.Request{}).WithContext(Context(context.Background(), c)))
 	}
 	for range 3 {
 		require.True(t, l.beginRequest())
-		many.begin()
+		many.Begin()
 	}
 	ask(ordinary)
 	require.Equal(t, []int{0, 1}, []int{served, rejected}, "all requests are being served")
@@ -197,7 +199,7 @@
 	l := listen(t, Config{MaxConns: 1})
 	c, _ := l.dial()
 	c.setActive()
-	c.begin()
+	c.Begin()
 	for range 3 {
 		c.BeginWait()
 		time.Sleep(20 * time.Millisecond)
@@ -206,8 +208,108 @@
 	c.BeginWait()
 	require.GreaterOrEqual(t, time.Since(c.state().Since), 60*time.Millisecond)
 	c.EndWait()
-	c.end(false)
-	c.begin()
+	c.End(false)
+	c.Begin()
 	c.BeginWait()
 	require.Less(t, time.Since(c.state().Since), 60*time.Millisecond, "of an earlier request")
 }
+
+// Guards against clients that send requests ahead and so keep their places on a crowded
+// listener, and against closing the connections of those that wait for their answers.
+func TestRequestsSentAhead(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		ahead, crowded bool
+		closed         bool
+	}{{"ahead", true, true, true}, {"ahead in calm", true, false, false}, {"in turn", false, true, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			l := listen(t, Config{MaxConns: 4, Overloaded: func() bool { return c.crowded }})
+			answered := make(chan struct{}, 10)
+			srv := &http.Server{ConnContext: Context, ConnState: l.Track, Handler: marked(l.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "answer")
+				answered <- struct{}{}
+			}), nil))}
+			defer srv.Close()
+			conn, client := l.dial()
+			go func() { _ = srv.Serve(&oneConn{conn: conn}) }()
+			const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+			client.SetDeadline(time.Now().Add(waitTimeout))
+			text := request
+			if c.ahead {
+				text += request + request
+			}
+			_, err := io.WriteString(client, text)
+			require.NoError(t, err)
+			br := bufio.NewReader(client)
+			closed := false
+			for range 3 {
+				resp, err := http.ReadResponse(br, nil)
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.NoError(t, err)
+				if closed = resp.Close; closed {
+					break
+				}
+				if !c.ahead {
+					<-answered
+					_, err = io.WriteString(client, request)
+					require.NoError(t, err)
+				}
+			}
+			require.Equal(t, c.closed, closed)
+		})
+	}
+}
+
+// marked calls Begin and End around a handler.
+func marked(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := FromContext(r.Context())
+		c.Begin()
+		defer c.End(false)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Guards against memory that fills with heads that do not end: the longest one goes first,
+// and a head that has arrived whole no longer counts.
+func TestLongHeads(t *testing.T) {
+	l := listen(t, Config{MaxConns: 10, HeadBytes: 10_000})
+	send := func(c *Conn, client net.Conn, n int) {
+		_, err := client.Write(make([]byte, n))
+		require.NoError(t, err)
+		_, err = io.ReadFull(c, make([]byte, n))
+		require.NoError(t, err)
+	}
+	whole, wholeClient := l.dial()
+	send(whole, wholeClient, 6_000)
+	whole.Begin()
+	long, longClient := l.dial()
+	send(long, longClient, 6_000)
+	short, shortClient := l.dial()
+	send(short, shortClient, 4_000)
+	require.Empty(t, l.turnedAwayFor())
+	send(short, shortClient, 1)
+	requireClosed(t, longClient)
+	require.Equal(t, []Reason{ReasonMemory}, l.turnedAwayFor())
+	require.EqualValues(t, 4_001, l.headBytes.Load())
+	require.NoError(t, short.Close())
+	require.Zero(t, l.headBytes.Load())
+	send(whole, wholeClient, 20_000) // of its body
+	require.Zero(t, l.headBytes.Load())
+}
+
+// oneConn is a listener that accepts one connection.
+type oneConn struct{ conn net.Conn }
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if l.conn == nil {
+		return nil, net.ErrClosed
+	}
+	c := l.conn
+	l.conn = nil
+	return c, nil
+}
+
+func (l *oneConn) Close() error   { return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -62,7 +62,9 @@
 	listeners []*conns.Listener
 	shares    intake.Shares
 	// memoryFull is set while the memory for clients is used up.
-	memoryFull       atomic.Bool
+	memoryFull atomic.Bool
+	// collectorLimit is the soft memory limit in force; only checkMemory uses it.
+	collectorLimit   int64
 	turnedAwayCounts turnedAwayCounts
 
 	// table is the version of the tables in force, nil before the first one.
@@ -206,7 +208,7 @@
 	}
 	l := conns.NewListener(opened, conns.Config{
 		MaxConns: e.maxConns, MaxRequests: h.shares.Requests, SocketBuffer: h.shares.SocketBuffer,
-		Full: h.memoryFull.Load, OnTurnedAway: func(r conns.Reason) { h.turnedAway(e.field, r) },
+		HeadBytes: h.shares.HeadBytes, Overloaded: h.guard.Overloaded, Full: h.memoryFull.Load, OnTurnedAway: func(r conns.Reason) { h.turnedAway(e.field, r) },
 	})
 	handler := l.Handler(e.handler, http.HandlerFunc(h.rejectFull))
 	srv := forward.NewServer(h.protectHandler(e.field, handler), forward.Limits{
--- a/pkg/steer/intake.go
+++ b/pkg/steer/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime/debug"
 	runtimemetrics "runtime/metrics"
 	"sync"
 	"time"
@@ -15,9 +16,9 @@
 	memoryInterval = 100 * time.Millisecond
 	// turnedAwayInterval is the interval of the log lines about clients turned away.
 	turnedAwayInterval = time.Second
-	// shedShare is the part of the open connections that is closed at a time while the
-	// memory is used up: one in so many.
-	shedShare = 16
+	// shedShare is the part of the open connections that is closed at a time while too much
+	// memory is in use: one in so many.
+	shedShare = 4
 	// reasonSlowReader means that an answer was cut off because its caller read it slowly,
 	// and another request needed the connection to the server.
 	reasonSlowReader conns.Reason = "slow-reader"
@@ -74,19 +75,31 @@
 	h.reject(x, result.New(result.HostOverloaded, "this host has no memory for more requests").WithRetryAfter(retryAfter(time.Second)))
 }
 
-// heapBytes returns the memory that the Go runtime holds.
-func heapBytes() int64 {
-	samples := []runtimemetrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+// heap is the memory of the Go runtime, in bytes.
+type heap struct {
+	// held is what the runtime has from the system, live what was in use at the last garbage
+	// collection.
+	held, live int64
+}
+
+func measureHeap() heap {
+	samples := []runtimemetrics.Sample{
+		{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}, {Name: "/gc/heap/live:bytes"},
+	}
 	runtimemetrics.Read(samples)
-	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+	return heap{held: int64(samples[0].Value.Uint64() - samples[1].Value.Uint64()), live: int64(samples[2].Value.Uint64())}
 }
 
-// checkMemory closes connections while the memory for clients is used up, those that keep
-// the process waiting first. New requests are rejected meanwhile.
+// checkMemory closes connections while clients hold too much memory, those that keep the
+// process waiting first. If that does not suffice, new requests are rejected.
 func (h *Host) checkMemory(time.Time) {
-	full := heapBytes() > h.shares.HeapBytes
-	h.memoryFull.Store(full)
-	if !full {
+	m := measureHeap()
+	if limit := h.shares.CollectorLimit(memoryLimitBytes, m.live); limit != h.collectorLimit {
+		h.collectorLimit = limit
+		debug.SetMemoryLimit(limit)
+	}
+	h.memoryFull.Store(m.held > h.shares.HeapBytes)
+	if m.held <= h.shares.ShedBytes {
 		return
 	}
 	for _, l := range h.listeners {
--- a/pkg/steer/page_test.go
+++ b/pkg/steer/page_test.go
@@ -12,6 +12,9 @@
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/intake"
+	"github.com/tamarackswitch/tamarackswitch/pkg/machine"
 )
 
 const validSettings = `
@@ -36,6 +39,8 @@
 cpu_share = 0.5
 cores = 1
 lateness = "200ms"
+memory_mb = 206.5
+descriptors = 400
 [bounds]
 grace = "6s"
 lookup_life = "5s"
@@ -59,6 +64,9 @@
 		{`"127.0.0.2:5"`, `"127.0.0.2"`, `advertise.peer: "127.0.0.2" is not an IP number and port`},
 		{`cpu_share = 0.5`, `cpu_share = 2`, "limits.cpu_share"},
 		{`cores = 1`, `cores = 0`, "limits.cores"},
+		{`memory_mb = 206.5`, `memory_mb = 31`, "limits.memory_mb: 31 is not between 32 and"},
+		{`memory_mb = 206.5`, `memory_mb = nan`, "limits.memory_mb: NaN is not between"},
+		{`descriptors = 400`, `descriptors = 20`, "limits.descriptors: 20 is not between 128 and"},
 		{`grace = "6s"`, `grace = "0s"`, "bounds.grace"},
 		{`grace = "6s"`, `grace = 6`, "bounds.grace: must be at least 1ms, with a unit"},
 		{`lookup_life = "5s"`, ``, "bounds.lookup_life"},
@@ -135,6 +143,15 @@
 	}
 }
 
+// Guards against limits of the machine that the settings do not lower, or that they raise.
+func TestMachineOfSettings(t *testing.T) {
+	s, err := ParseSettings("s.toml", []byte(validSettings))
+	require.NoError(t, err)
+	require.Equal(t, intake.Machine{MemoryBytes: 206<<20 + 1<<19, Descriptors: 400}, s.Limits.machine())
+	s.Limits = Limits{Descriptors: 1 << 30}
+	require.Equal(t, machine.Limits(), s.Limits.machine())
+}
+
 // withoutKey returns validSettings without the line that sets key.
 func withoutKey(t *testing.T, key string) string {
 	t.Helper()
--- a/pkg/steer/settings.go
+++ b/pkg/steer/settings.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	stderrors "errors"
+	"math"
 	"net/netip"
 	"os"
 	"slices"
@@ -85,7 +86,7 @@
 	MemoryMB float64 `toml:"memory_mb"`
 	// Descriptors is the largest number of open descriptors. The default is the limit of
 	// the process.
-	Descriptors int `toml:"descriptors"`
+	Descriptors float64 `toml:"descriptors"`
 }
 
 // machine returns what the machine gives to the process.
@@ -95,7 +96,7 @@
 		m.MemoryBytes = int64(l.MemoryMB * (1 << 20))
 	}
 	if l.Descriptors > 0 {
-		m.Descriptors = min(m.Descriptors, l.Descriptors)
+		m.Descriptors = min(m.Descriptors, int(l.Descriptors))
 	}
 	return m
 }
@@ -220,8 +221,8 @@
 		return invalid("limits.lateness", "must be at least %s, with a unit", minDuration)
 	case s.Limits.MemoryMB != 0 && !(s.Limits.MemoryMB >= minMemoryMB && s.Limits.MemoryMB <= maxMemoryMB):
 		return invalid("limits.memory_mb", "%v is not between %v and %v", s.Limits.MemoryMB, minMemoryMB, maxMemoryMB)
-	case s.Limits.Descriptors != 0 && s.Limits.Descriptors < minDescriptors:
-		return invalid("limits.descriptors", "%d is less than %d", s.Limits.Descriptors, minDescriptors)
+	case s.Limits.Descriptors != 0 && !(s.Limits.Descriptors >= minDescriptors && s.Limits.Descriptors <= math.MaxInt32):
+		return invalid("limits.descriptors", "%v is not between %d and %d", s.Limits.Descriptors, minDescriptors, math.MaxInt32)
 	case !slices.Contains(logLevels, s.Log.Level):
 		return invalid("log.level", "%q is not one of %v", s.Log.Level, logLevels)
 	case s.Log.LinesPerSecond <= 0:
@@ -236,8 +237,8 @@
 
 // Lower bounds of the limits: less does not suffice to serve.
 const (
-	minMemoryMB    = 64
-	minDescriptors = 256
+	minMemoryMB    = 32
+	minDescriptors = 128
 )
 
 // Upper bounds that only mistyped settings exceed.
@@ -251,3 +252,13 @@
 
 // Region returns the region of this host's failure domain.
 func (s *Settings) Region() string { return s.Regions[s.Domain] }
+
+// hasRegion reports whether a failure domain of the settings is in the region.
+func (s *Settings) hasRegion(region string) bool {
+	for _, r := range s.Regions {
+		if r == region {
+			return true
+		}
+	}
+	return false
+}
