Cut texts of other programs in the log, ignore reports about unknown pools and regions

A client could write megabytes a second to the log: the id and the path of its request were logged whole, up to 64 KB a line. Foreign datagrams with reports about ever new pools and regions were kept for good.

Texts that other programs choose are cut at 256 bytes in the log. A report counts if this host has its pool, and its region is in the settings.

--- a/pkg/steer/dispatch.go
+++ b/pkg/steer/dispatch.go
@@ -422,10 +422,15 @@
 // handleReport records load reports of another region and who sent them.
 func (h *Host) handleReport(from string, list []report) {
 	for _, r := range list {
+		// Any program can send datagrams; what they name is kept only if it exists.
+		p := h.pool(r.Pool)
+		if p == nil || !h.cfg().hasRegion(r.Region) {
+			continue
+		}
 		h.dispatchState.mu.Lock()
 		h.dispatchState.reporters[reporterKey{r.Pool, r.Region}] = reporter{from, time.Now()}
 		h.dispatchState.mu.Unlock()
-		if p := h.pool(r.Pool); p != nil && r.Region != h.region {
+		if r.Region != h.region {
 			p.recordRegionReport(r.Region, r.Report)
 		}
 	}
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -79,7 +79,7 @@
 
 func (l *eventLog) warn(err error, msg string) {
 	if l.allow() {
-		l.Warn().Err(err).Msg(msg)
+		l.Warn().Str("error", clip(err.Error())).Msg(msg)
 	}
 }
 
@@ -95,7 +95,7 @@
 
 func (l *eventLog) library(line []byte) {
 	if l.allow() {
-		l.Warn().Str("line", string(bytes.TrimSpace(line[:min(len(line), maxErrorTextBytes)]))).Msg("message of a library")
+		l.Warn().Str("line", string(bytes.TrimSpace(line[:min(len(line), maxTextBytes)]))).Msg("message of a library")
 	}
 }
 
@@ -112,7 +112,7 @@
 
 func (l *eventLog) peerLost(name string) {
 	if l.allow() {
-		l.Warn().Str("peer", name).Msg("peer is silent")
+		l.Warn().Str("peer", clip(name)).Msg("peer is silent")
 	}
 }
 
@@ -152,22 +152,25 @@
 	}
 }
 
-// maxErrorTextBytes bounds the text of an error that quotes what another program
-// wrote.
-const maxErrorTextBytes = 256
+// maxTextBytes bounds each text in a log line that another program has chosen: clients, servers
+// and writers to the store could fill the log with long ones.
+const maxTextBytes = 256
+
+// clip returns the beginning of a text that another program has chosen.
+func clip(text string) string { return text[:min(len(text), maxTextBytes)] }
 
 func (l *eventLog) unreadable(kind string, e feed.Unreadable) {
 	if !l.allow() {
 		return
 	}
 	text := e.Err.Error()
-	l.Warn().Str("kind", kind).Str("name", e.Name[:min(len(e.Name), maxErrorTextBytes)]).Str("error", text[:min(len(text), maxErrorTextBytes)]).
+	l.Warn().Str("kind", kind).Str("name", clip(e.Name)).Str("error", clip(text)).
 		Msg("entry in the store cannot be read and is ignored")
 }
 
 func (l *eventLog) readable(kind, name string) {
 	if l.allow() {
-		l.Info().Str("kind", kind).Str("name", name[:min(len(name), maxErrorTextBytes)]).Msg("entry in the store is readable again or gone")
+		l.Info().Str("kind", kind).Str("name", clip(name)).Msg("entry in the store is readable again or gone")
 	}
 }
 
@@ -205,7 +208,7 @@
 	if err != nil && err.Run != result.NotRun {
 		e = l.Warn()
 	}
-	e = e.Str("id", x.requestID).Int("status", status).Int64("ms", time.Since(x.started).Milliseconds())
+	e = e.Str("id", clip(x.requestID)).Int("status", status).Int64("ms", time.Since(x.started).Milliseconds())
 	if x.table != nil {
 		e = e.Int64("version", x.table.Version)
 		if x.latestVersion != x.table.Version {
@@ -213,7 +216,7 @@
 		}
 	}
 	if x.route != nil {
-		e = e.Str("route", x.route.Name).Str("key", x.need.Key).Int64("wait_ms", x.waited.Milliseconds()).Int("attempts", x.attempts)
+		e = e.Str("route", x.route.Name).Str("key", clip(x.need.Key)).Int64("wait_ms", x.waited.Milliseconds()).Int("attempts", x.attempts)
 	}
 	if x.pool != nil {
 		e = e.Str("pool", x.pool.name)
@@ -225,7 +228,7 @@
 		e = e.Bool("body_cut", true)
 	}
 	if err != nil {
-		e = e.Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error())
+		e = e.Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", clip(err.Error()))
 		if err.RetryAfter > 0 {
 			e = e.Int64("retry_after_ms", err.RetryAfter.Milliseconds())
 		}
@@ -238,23 +241,23 @@
 	if !l.allow() {
 		return
 	}
-	e := l.Info().Str("id", x.requestID).Int("attempt", x.attempts).Int64("took_ms", took.Milliseconds())
+	e := l.Info().Str("id", clip(x.requestID)).Int("attempt", x.attempts).Int64("took_ms", took.Milliseconds())
 	e = e.Int64("conn", x.trace.Conn).Int("conn_answers", x.trace.EarlierAnswers).Int64("written", x.trace.Written)
 	if x.trace.Basis != "" {
 		e = e.Str("basis", string(x.trace.Basis))
 	}
-	withServer(e, x).Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", err.Error()).Msg("send failed")
+	withServer(e, x).Int("code", int(err.Code)).Str("run", string(err.Run)).Str("error", clip(err.Error())).Msg("send failed")
 }
 
 func (l *eventLog) serverLeaving(x *exchange) {
 	c := x.reservation.choice
-	l.Info().Str("id", x.requestID).Str("pool", x.pool.name).Str("server", c.Server.ID).Int64("started", c.Server.StartedMS).
+	l.Info().Str("id", clip(x.requestID)).Str("pool", x.pool.name).Str("server", c.Server.ID).Int64("started", c.Server.StartedMS).
 		Msg("backend server said that it leaves, it gets no new requests")
 }
 
 func (l *eventLog) serverPause(x *exchange, pause time.Duration) {
 	if l.allow() {
-		l.Info().Str("id", x.requestID).Str("pool", x.pool.name).Str("server", x.reservation.choice.Server.ID).Int64("pause_ms", pause.Milliseconds()).
+		l.Info().Str("id", clip(x.requestID)).Str("pool", x.pool.name).Str("server", x.reservation.choice.Server.ID).Int64("pause_ms", pause.Milliseconds()).
 			Msg("backend server wants no requests from this host for a time")
 	}
 }
--- a/test/crowd/clients_test.go
+++ b/test/crowd/clients_test.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// sendLongTexts sends requests with a long id and path, and reads the answers.
+func sendLongTexts(_ context.Context, c net.Conn, request string) {
+	discard(c)
+	long := strings.Repeat("x", 20<<10)
+	request = strings.Replace(request, "/1 ", "/"+long+" ", 1)
+	request = strings.Replace(request, "X-Request-Id: ", "X-Request-Id: "+long, 1)
+	for {
+		if _, err := io.WriteString(c, request+"\r\n"); err != nil {
+			return
+		}
+	}
+}
+
 // readSlowly asks for a long answer and reads little of it.
 func readSlowly(ctx context.Context, c net.Conn, request string) {
 	_, err := io.WriteString(c, strings.Replace(request, "/ordinary/", "/long/", 1)+"\r\n")
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -31,11 +31,16 @@
 // bounds, and ordinary requests amid the crowd and after it.
 func play(t *testing.T, listener string, size int, run client) {
 	t.Helper()
-	s := start(t)
+	start(t).play(listener, httpListeners[listener], size, run)
+}
+
+// play lets a crowd of size clients meet the host at a listener; request is what they send.
+func (s *system) play(listener, request string, size int, run client) {
+	s.t.Helper()
 	stop := s.watch()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	crowd := gather(ctx, s.listeners[listener], httpListeners[listener], size, run)
+	crowd := gather(ctx, s.listeners[listener], request, size, run)
 	time.Sleep(gatherTime)
 	s.requireAnswers("amid the crowd")
 	time.Sleep(gatherTime)
@@ -96,6 +101,9 @@
 // TestPingsWithoutReader guards against HTTP/2 frames whose answers nobody reads.
 func TestPingsWithoutReader(t *testing.T) { playEach(t, http2Conns, sendPings) }
 
+// TestLongTexts guards against a log that clients fill with long names of their requests.
+func TestLongTexts(t *testing.T) { play(t, "caller", 50, sendLongTexts) }
+
 // TestForeignDatagrams guards against datagrams from programs that are no entry hosts:
 // bytes without meaning, and beacons of hosts that do not exist.
 func TestForeignDatagrams(t *testing.T) {
--- a/test/crowd/system_test.go
+++ b/test/crowd/system_test.go
@@ -99,9 +99,13 @@
 	// listeners are the addresses of the host's listeners by name; peer is that for datagrams.
 	listeners map[string]string
 	peer      string
-	cmd       *exec.Cmd
-	exited    chan struct{}
-	log       logBuffer
+	// ordinary are the requests by which the test sees that the host serves, by listener.
+	ordinary map[string]string
+	// callerID is the id of the ordinary request of a caller that reaches the server.
+	callerID string
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	log      logBuffer
 
 	mu          sync.Mutex // guards the fields below
 	memoryMB    int        // peak of the memory with the unread bytes
@@ -148,36 +152,43 @@
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
 	route := standin.Route{Host: "a.example", Pool: "p", Timeout: uploadTimeout, Target: 200 * time.Millisecond, Idempotent: true}
-	ordinary, long := route, route
-	ordinary.Name, ordinary.Prefix = "ordinary", "/ordinary/"
-	long.Name, long.Prefix = "long", "/long/"
-	store.Configure(1, 1000, []string{"p"}, []standin.Route{ordinary, long})
+	ordinaryRoute, longRoute := route, route
+	ordinaryRoute.Name, ordinaryRoute.Prefix = "ordinary", "/ordinary/"
+	longRoute.Name, longRoute.Prefix = "long", "/long/"
+	store.Configure(1, 1000, []string{"p"}, []standin.Route{ordinaryRoute, longRoute})
 	for i := range 2 {
 		entry := standin.ServerEntry{ID: fmt.Sprintf("s%d", i), Pool: "p", Address: freeAddress(t), Domain: "a-1", Slots: 64, StartedMS: 1}
 		startServer(t, entry)
 		store.Publish(entry, "ready")
 	}
-	s := &system{t: t, listeners: map[string]string{}, peer: freeAddress(t), exited: make(chan struct{})}
+	s := &system{t: t, listeners: map[string]string{}, peer: freeAddress(t), ordinary: ordinary, callerID: "ordinary"}
 	for _, name := range []string{"caller", "ready", "lookup", "control", "metrics"} {
 		s.listeners[name] = freeAddress(t)
 	}
 	text := fmt.Sprintf(settingsText, s.listeners["caller"], s.listeners["ready"], s.listeners["lookup"], s.listeners["control"], s.peer, s.listeners["metrics"],
 		strings.TrimPrefix(storeServer.URL, "http://"))
-	file := filepath.Join(t.TempDir(), "entry.toml")
-	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-	s.cmd = exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(descriptorLimit), program, "steer", "--settings", file)
+	s.run("steer", text)
+	return s
+}
+
+// run starts the program with a command and its settings, and waits until it answers.
+func (s *system) run(command, settings string) {
+	s.t.Helper()
+	file := filepath.Join(s.t.TempDir(), "entry.toml")
+	require.NoError(s.t, os.WriteFile(file, []byte(settings), 0o600))
+	s.exited = make(chan struct{})
+	s.cmd = exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(descriptorLimit), program, command, "--settings", file)
 	s.cmd.Stdout, s.cmd.Stderr = &s.log, &s.log
-	require.NoError(t, s.cmd.Start())
+	require.NoError(s.t, s.cmd.Start())
 	go func() {
 		_ = s.cmd.Wait()
 		close(s.exited)
 	}()
-	t.Cleanup(func() {
+	s.t.Cleanup(func() {
 		_ = s.cmd.Process.Signal(syscall.SIGKILL) // an error means that it has ended
 		<-s.exited
 	})
 	s.requireAnswers("at the start")
-	return s
 }
 
 // startServer starts a backend server. It answers a request for a long answer with
@@ -213,7 +224,7 @@
 	go func() { _ = srv.Serve(l) }() // returns after Close
 }
 
-// ordinary are the requests by which the test sees that the host serves, by listener.
+// ordinary are the ordinary requests to a host that runs as "steer".
 var ordinary = map[string]string{
 	"caller":  "GET /ordinary/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: ordinary\r\nX-Deadline-Ms: 2000\r\n",
 	"lookup":  "GET /tamarackswitch/resolve?name=a.example&region=a&zone=a-1 HTTP/1.1\r\nHost: h\r\n",
@@ -230,7 +241,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-	if _, err := io.WriteString(c, ordinary[listener]+"Connection: close\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(c, s.ordinary[listener]+"Connection: close\r\n\r\n"); err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -244,7 +255,7 @@
 		return err
 	case resp.StatusCode != http.StatusOK:
 		return fmt.Errorf("status %d: %s", resp.StatusCode, body)
-	case listener == "caller" && string(body) != standin.Body("ordinary"):
+	case listener == "caller" && string(body) != standin.Body(s.callerID):
 		return fmt.Errorf("another answer: %q", body)
 	}
 	return nil
@@ -254,7 +265,7 @@
 // caller tries again like any caller whose request was rejected.
 func (s *system) requireAnswers(when string) {
 	s.t.Helper()
-	for listener := range ordinary {
+	for listener := range s.ordinary {
 		var err error
 		for until := time.Now().Add(answerTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 			if err = s.answers(listener); err == nil || !s.alive() {
