Recognise HTTP/2 from bytes that arrive one by one, count connections until they close

A client that sent the first letter of the HTTP/2 preface alone was taken for one of HTTP/1, and its cancelled streams were not counted. An idle connection that makes place for another one was no longer counted before it was closed; if a request crossed the close, a shutdown would not have waited for it. Both were found by reading. TestCancelledStreams sends the preface in parts, and fails before; TestFullListenerMakesPlace counts the closing connection.

--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"bytes"
 	"context"
 	stderrors "errors"
 	"net"
@@ -34,9 +33,10 @@
 	phase phase
 	// since is when the phase began.
 	since time.Time
-	// http2 is set if the connection carries HTTP/2. What arrives on it may be no
-	// request, so that only net/http knows when one begins.
+	// http2 is set if the connection carries HTTP/2, as its first bytes say. What arrives on
+	// it may be no request, so that only net/http knows when one begins.
 	http2 bool
+	first []byte // the first bytes, up to the length of http2Start
 	// hijacked is set if the connection no longer carries HTTP.
 	hijacked bool
 	// readDeadline is the deadline that net/http has set.
@@ -134,8 +134,11 @@
 // arrived notes that data has been read from the connection.
 func (c *Conn) arrived(data []byte) {
 	c.mu.Lock()
-	if c.phase == phaseNew && bytes.HasPrefix(data, []byte(http2Start)) {
-		c.http2 = true
+	if before := len(c.first); before < len(http2Start) {
+		c.first = append(c.first, data[:min(len(data), len(http2Start)-before)]...)
+		if c.http2 = string(c.first) == http2Start; c.http2 {
+			c.streams.read(c.first[:before])
+		}
 	}
 	isHTTP2, ended := c.http2, c.ended
 	c.sentAhead = c.sentAhead || !isHTTP2 && c.requests > 0 && c.waiting == 0
--- a/pkg/intake/listener.go
+++ b/pkg/intake/listener.go
@@ -186,9 +186,7 @@
 	l.turnedAway(reasonOf[states[i].Activity])
 	if states[i].Activity != intake.Idle || !conns[i].closeIfIdle() {
 		_ = conns[i].Close()
-		return true
 	}
-	l.remove(conns[i]) // its reader closes it at once
 	return true
 }
 
--- a/pkg/intake/listener_test.go
+++ b/pkg/intake/listener_test.go
@@ -118,6 +118,7 @@
 	require.Equal(t, ReasonIdle, l.turnedAwayFor()[3])
 	_, err = busy.Read(make([]byte, 1))
 	require.Error(t, err)
+	require.NoError(t, busy.Close())
 	require.Equal(t, 3, l.Count().Open)
 }
 
@@ -141,7 +142,10 @@
 			l := listen(t, Config{MaxConns: 1})
 			conn, client := l.dial()
 			go func() {
-				_, _ = io.WriteString(client, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n") // an error shows in the test
+				for _, part := range []string{"P", "R", "I * HTTP/2.0\r\n\r\nSM\r\n\r\n"} {
+					_, _ = io.WriteString(client, part) // an error shows in the test
+					time.Sleep(time.Millisecond)
+				}
 				for i := range 300 {
 					part := append(reset(uint32(2*i+1)), data...)
 					_, _ = client.Write(part[:i%len(part)]) // in two parts, at each place
