Bound what clients of `entry` hold, too; move the code to pkg/conns

They use the same listeners and shares, with limits.memory and limits.descriptors, and the check of the heap, which both have from pkg/conns now (pkg/intake before, a name that pkg/core/intake has as well).

--- a/pkg/intake/buffers_linux.go
+++ b/pkg/conns/buffers_linux.go
@@ -1,4 +1,4 @@
-package intake
+package conns
 
 import "syscall"
 
--- a/pkg/intake/buffers_other.go
+++ b/pkg/conns/buffers_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package intake
+package conns
 
 // limitBuffers leaves the buffers to the system.
 func limitBuffers(uintptr, int) {}
--- a/pkg/intake/listener.go
+++ b/pkg/conns/listener.go
@@ -1,6 +1,6 @@
-// Package intake accepts the connections of clients, bounds how many are open and what they
+// Package conns accepts the connections of clients, bounds how many are open and what they
 // hold, and closes those that keep the process waiting when others need their place.
-package intake
+package conns
 
 import (
 	"math/bits"
@@ -224,9 +224,8 @@
 	}
 }
 
-// Shed closes up to n connections that keep the process waiting, because its memory is used
-// up.
-func (l *Listener) Shed(n int) {
+// shed closes up to n connections because too much memory is in use.
+func (l *Listener) shed(n int) {
 	for range n {
 		if !l.closeMostWaiting() && !l.closeOne() {
 			return
--- a/pkg/intake/unread_linux.go
+++ b/pkg/conns/unread_linux.go
@@ -1,6 +1,6 @@
 //go:build amd64 || arm64
 
-package intake
+package conns
 
 import (
 	"net"
--- a/pkg/intake/unread_other.go
+++ b/pkg/conns/unread_other.go
@@ -1,6 +1,6 @@
 //go:build !linux || !(amd64 || arm64)
 
-package intake
+package conns
 
 import "net"
 
--- a/pkg/entry/host.go
+++ b/pkg/entry/host.go
@@ -18,6 +18,7 @@
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/admin"
 	"github.com/tamarackswitch/tamarackswitch/pkg/api"
+	"github.com/tamarackswitch/tamarackswitch/pkg/conns"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/lookup"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/membership"
@@ -26,7 +27,6 @@
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/tablesync"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
 	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
-	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/machine"
 	"github.com/tamarackswitch/tamarackswitch/pkg/peer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/platform"
@@ -56,6 +56,9 @@
 	tomb      tomb.Tomb
 	listeners map[string]net.Listener
 	servers   []*http.Server
+	// accepting are the listeners, and memory what their clients may hold.
+	accepting []*conns.Listener
+	memory    conns.Memory
 	// work counts background calls, which Stop waits for.
 	work sync.WaitGroup
 
@@ -129,7 +132,7 @@
 		address: joinAddress(cfg.Listen.Peer, cfg.Listen.Caller),
 		pools:   map[string]*pool{}, budgets: map[string]*retry.Budget{}, transient: map[string]transientPeer{},
 		names: map[string]string{}, addresses: map[string]string{}, ended: map[string]time.Time{}, removed: map[string]time.Time{}, withdrawn: map[string]bool{}, rng: newRand(),
-		links: newLinks(now, cfg), forwarder: forward.New(forward.Config{}),
+		links: newLinks(now, cfg), forwarder: newForwarder(cfg),
 		probes:   &http.Client{Timeout: probeTimeout, Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second})},
 		logLimit: rate.NewLimiter(rate.Limit(cfg.Log.LinesPerSecond), cfg.Log.LinesPerSecond),
 	}
@@ -214,10 +217,12 @@
 		}
 		opened = append(opened, listener)
 	}
-	shares := intake.Divide(machine.Limits())
+	shares := intake.Divide(machineOf(h.cfg))
+	h.memory.Shares, h.memory.UsualLimit = shares, shares.ShedBytes
 	for i, l := range listeners {
 		h.serve(l.field, opened[i], l.handler, l.maxConns(shares), shares)
 	}
+	h.tomb.Go(h.checkMemory)
 	h.startControl()
 	h.log.Info().Str("host", h.cfg.Host.Name).Str("domain", h.cfg.Host.Domain).Int64("incarnation", h.incarnation).
 		Str("caller", h.cfg.Listen.Caller).Str("peer", h.cfg.Listen.Peer).Str("admin", h.cfg.Listen.Admin).Msg("entry host started")
@@ -242,12 +247,13 @@
 
 func (h *Host) serve(field string, opened net.Listener, handler http.Handler, maxConns int, shares intake.Shares) {
 	l := conns.NewListener(opened, conns.Config{
-		MaxConns: maxConns, MaxRequests: shares.Requests, SocketBuffer: shares.SocketBuffer,
+		MaxConns: maxConns, MaxRequests: shares.Requests, HeadBytes: shares.HeadBytes, SocketBuffer: shares.SocketBuffer, Full: h.memory.Full,
 		OnTurnedAway: func(r conns.Reason) { h.metrics.turnedAway.WithLabelValues(field, string(r)).Inc() },
 	})
 	srv := forward.NewServer(l.Handler(handler, http.HandlerFunc(rejectFull)), h.callerLimits())
 	srv.ConnState = l.Track
 	h.servers = append(h.servers, srv)
+	h.accepting = append(h.accepting, l)
 	h.tomb.Go(func() error {
 		if err := srv.Serve(l); !stderrors.Is(err, http.ErrServerClosed) {
 			return err
@@ -256,9 +262,43 @@
 	})
 }
 
+// machineOf returns what the machine gives to the process.
+func machineOf(cfg *settings.Settings) intake.Machine {
+	m := machine.Limits()
+	if cfg.Limits.Memory > 0 {
+		m.MemoryBytes = int64(cfg.Limits.Memory)
+	}
+	if cfg.Limits.Descriptors > 0 {
+		m.Descriptors = min(m.Descriptors, cfg.Limits.Descriptors)
+	}
+	return m
+}
+
+func newForwarder(cfg *settings.Settings) *forward.Forwarder {
+	shares := intake.Divide(machineOf(cfg))
+	return forward.New(forward.Config{MaxConns: shares.Servers, MaxStreams: shares.Streams})
+}
+
 // minPeerConns lets each of the other entry hosts of a large region keep its link.
 const minPeerConns = 256
 
+// memoryInterval is how often the memory of the process is checked.
+const memoryInterval = 100 * time.Millisecond
+
+// checkMemory turns clients away while they hold too much memory.
+func (h *Host) checkMemory() error {
+	t := time.NewTicker(memoryInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-h.tomb.Dying():
+			return nil
+		case <-t.C:
+			h.memory.Check(h.accepting)
+		}
+	}
+}
+
 // rejectFull answers a request that is too many at a time.
 func rejectFull(w http.ResponseWriter, _ *http.Request) {
 	api.WriteRefusal(w, "", result.New(result.HostOverloaded, "this host takes no more requests at a time").WithRetryAfter(retryAdvice))
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/conns"
 	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
-	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -11,7 +11,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/tamarackswitch/tamarackswitch/pkg/intake"
+	"github.com/tamarackswitch/tamarackswitch/pkg/conns"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -90,7 +90,7 @@
 			MaxReceiveBufferPerStream:     http2StreamBytes,
 			WriteByteTimeout:              http2WriteTimeout,
 		},
-		ConnContext: intake.Context,
+		ConnContext: conns.Context,
 	}
 }
 
@@ -127,7 +127,7 @@
 // body that next has not read. next must not use a hijacked connection after it has returned.
 func boundCallers(next http.Handler, l Limits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn := intake.FromContext(r.Context())
+		conn := conns.FromContext(r.Context())
 		conn.Begin()
 		defer func() { conn.End(r.Context().Err() != nil) }()
 		rc := http.NewResponseController(w)
@@ -174,7 +174,7 @@
 	w      http.ResponseWriter
 	rc     *http.ResponseController
 	limits Limits
-	conn   *intake.Conn // nil if it is not known
+	conn   *conns.Conn // nil if it is not known
 	http2  bool
 	length int64 // announced by the caller, -1 if unknown
 	// expectsContinue is set if the caller may wait for 100 Continue before it sends
@@ -193,7 +193,7 @@
 
 func guardBody(w http.ResponseWriter, rc *http.ResponseController, r *http.Request, l Limits) *guardedBody {
 	b := &guardedBody{
-		ReadCloser: r.Body, w: w, rc: rc, limits: l.WithDefaults(), conn: intake.FromContext(r.Context()), http2: r.ProtoMajor >= 2,
+		ReadCloser: r.Body, w: w, rc: rc, limits: l.WithDefaults(), conn: conns.FromContext(r.Context()), http2: r.ProtoMajor >= 2,
 		length: r.ContentLength, expectsContinue: r.Header.Get("Expect") != "",
 	}
 	_ = b.rc.EnableFullDuplex() // fails only for writers that do not read from the body either
--- a/pkg/forward/streams.go
+++ b/pkg/forward/streams.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/conns"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/intake"
-	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
 )
 
 // stream is an answer that is passed on to its caller while it arrives. A caller that reads
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -113,6 +113,11 @@
 	// BodyIdleTimeout is the maximum time without receiving a byte of a request
 	// body; default 5s.
 	BodyIdleTimeout units.Duration `toml:"read_body"`
+	// Memory is the memory of the process; 0 means that of the machine or of the control
+	// group. Descriptors is the maximum number of open descriptors; 0 means the limit of
+	// the process. Both are divided among clients and servers.
+	Memory      units.Size `toml:"memory"`
+	Descriptors int        `toml:"descriptors"`
 	// MaxRequests is the maximum number of concurrent requests; default 10000.
 	MaxRequests int `toml:"requests"`
 	// LookupCacheTTL is how long a caller may cache a look-up answer; default 10s.
@@ -350,6 +355,12 @@
 	return nil
 }
 
+// Lower bounds of the limits: less does not suffice to serve.
+const (
+	minMemoryBytes = 32 << 20
+	minDescriptors = 128
+)
+
 func (s *Settings) checkLimits() error {
 	if s.Topology.MaxHosts < 1 {
 		return fmt.Errorf("topology.max_hosts: %d is less than 1", s.Topology.MaxHosts)
@@ -357,6 +368,12 @@
 	if s.Limits.MaxRequests < 1 {
 		return fmt.Errorf("limits.requests: %d is less than 1", s.Limits.MaxRequests)
 	}
+	if m := s.Limits.Memory; m != 0 && m < minMemoryBytes {
+		return fmt.Errorf("limits.memory: %d bytes are less than %d", m, minMemoryBytes)
+	}
+	if d := s.Limits.Descriptors; d != 0 && d < minDescriptors {
+		return fmt.Errorf("limits.descriptors: %d is less than %d", d, minDescriptors)
+	}
 	if s.Limits.KeyCreatesPerSecond < 0 {
 		return fmt.Errorf("limits.key_creates: %v is negative", s.Limits.KeyCreatesPerSecond)
 	}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -50,6 +50,8 @@
 		{"open admin listener without tokens", `"127.0.0.1:7002"`, `"0.0.0.0:7002"`, `7000 settings-invalid: s.toml: listen.admin: "0.0.0.0:7002" is not a loopback address, which needs at least one admin.token`},
 		{"missing platform", `url = "http://127.0.0.1:7900"`, "", `7000 settings-invalid: s.toml: platform.url: "" is not a URL such as "http://10.1.0.5:7900"`},
 		{"platform by host name", "http://127.0.0.1", "http://platform", `7000 settings-invalid: s.toml: platform.url: the host of "http://platform:7900" is not an IP number`},
+		{"little memory", "[platform]", "[limits]\nmemory = \"1MiB\"\n[platform]", "7000 settings-invalid: s.toml: limits.memory: 1048576 bytes are less than 33554432"},
+		{"few descriptors", "[platform]", "[limits]\ndescriptors = 10\n[platform]", "7000 settings-invalid: s.toml: limits.descriptors: 10 is less than 128"},
 		{"bad unit", "[platform]", "[limits]\nlookup_cache = \"10 seconds\"\n[platform]", `7000 settings-invalid: s.toml:14:16: field "limits.lookup_cache": "10 seconds" is not a duration such as "250ms"`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -19,13 +19,13 @@
 	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/conns"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/overload"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/registry"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/shutdown"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/forward"
-	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
@@ -58,13 +58,10 @@
 	tomb        tomb.Tomb
 	httpServers []*http.Server
 	// callers accepts the connections of callers; listeners are all that accept connections.
-	callers   *conns.Listener
-	listeners []*conns.Listener
-	shares    intake.Shares
-	// memoryFull is set while the memory for clients is used up.
-	memoryFull atomic.Bool
-	// collectorLimit is the soft memory limit in force; only checkMemory uses it.
-	collectorLimit   int64
+	callers          *conns.Listener
+	listeners        []*conns.Listener
+	shares           intake.Shares
+	memory           conns.Memory
 	turnedAwayCounts turnedAwayCounts
 
 	// table is the version of the tables in force, nil before the first one.
@@ -118,6 +115,7 @@
 		feeds: newStoreFeeds(time.Now()), registry: registry.New(time.Now()), pools: map[string]*pool{},
 	}
 	h.shares = intake.Divide(cfg.Limits.machine())
+	h.memory.Shares, h.memory.UsualLimit = h.shares, memoryLimitBytes
 	h.forward = forward.New(forward.Config{
 		Headers: names.Headers, ConnectTimeout: connectTimeout, IdleTimeout: serverIdleTimeout,
 		MaxConns: h.shares.Servers, MaxStreams: h.shares.Streams,
@@ -208,7 +206,7 @@
 	}
 	l := conns.NewListener(opened, conns.Config{
 		MaxConns: e.maxConns, MaxRequests: h.shares.Requests, SocketBuffer: h.shares.SocketBuffer,
-		HeadBytes: h.shares.HeadBytes, Overloaded: h.guard.Overloaded, Full: h.memoryFull.Load, OnTurnedAway: func(r conns.Reason) { h.turnedAway(e.field, r) },
+		HeadBytes: h.shares.HeadBytes, Overloaded: h.guard.Overloaded, Full: h.memory.Full, OnTurnedAway: func(r conns.Reason) { h.turnedAway(e.field, r) },
 	})
 	handler := l.Handler(e.handler, http.HandlerFunc(h.rejectFull))
 	srv := forward.NewServer(h.protectHandler(e.field, handler), forward.Limits{
--- a/pkg/steer/intake.go
+++ b/pkg/steer/intake.go
@@ -2,12 +2,10 @@
 
 import (
 	"net/http"
-	"runtime/debug"
-	runtimemetrics "runtime/metrics"
 	"sync"
 	"time"
 
-	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
+	"github.com/tamarackswitch/tamarackswitch/pkg/conns"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
@@ -16,9 +14,6 @@
 	memoryInterval = 100 * time.Millisecond
 	// turnedAwayInterval is the interval of the log lines about clients turned away.
 	turnedAwayInterval = time.Second
-	// shedShare is the part of the open connections that is closed at a time while too much
-	// memory is in use: one in so many.
-	shedShare = 4
 	// reasonSlowReader means that an answer was cut off because its caller read it slowly,
 	// and another request needed the connection to the server.
 	reasonSlowReader conns.Reason = "slow-reader"
@@ -75,34 +70,5 @@
 	h.reject(x, result.New(result.HostOverloaded, "this host has no memory for more requests").WithRetryAfter(retryAfter(time.Second)))
 }
 
-// heap is the memory of the Go runtime, in bytes.
-type heap struct {
-	// held is what the runtime has from the system, live what was in use at the last garbage
-	// collection.
-	held, live int64
-}
-
-func measureHeap() heap {
-	samples := []runtimemetrics.Sample{
-		{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}, {Name: "/gc/heap/live:bytes"},
-	}
-	runtimemetrics.Read(samples)
-	return heap{held: int64(samples[0].Value.Uint64() - samples[1].Value.Uint64()), live: int64(samples[2].Value.Uint64())}
-}
-
-// checkMemory closes connections while clients hold too much memory, those that keep the
-// process waiting first. If that does not suffice, new requests are rejected.
-func (h *Host) checkMemory(time.Time) {
-	m := measureHeap()
-	if limit := h.shares.CollectorLimit(memoryLimitBytes, m.live); limit != h.collectorLimit {
-		h.collectorLimit = limit
-		debug.SetMemoryLimit(limit)
-	}
-	h.memoryFull.Store(m.held > h.shares.HeapBytes)
-	if m.held <= h.shares.ShedBytes {
-		return
-	}
-	for _, l := range h.listeners {
-		l.Shed(1 + l.Count().Open/shedShare)
-	}
-}
+// checkMemory turns clients away while they hold too much memory.
+func (h *Host) checkMemory(time.Time) { h.memory.Check(h.listeners) }
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -9,11 +9,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/conns"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/placing"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/shutdown"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
-	conns "github.com/tamarackswitch/tamarackswitch/pkg/intake"
 	"github.com/tamarackswitch/tamarackswitch/pkg/result"
 )
 
