Do not take the rest of a body for a request that was sent ahead

What the host reads and drops after its answer arrived while no read was marked as a wait for the caller, so that a later answer on the connection could say "Connection: close" on a crowded host. Found by reading.

--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -297,6 +297,8 @@
 func (b *guardedBody) discard() bool {
 	b.reading.Lock()
 	defer b.reading.Unlock()
+	b.conn.BeginWait()
+	defer b.conn.EndWait()
 	_, err := io.CopyN(io.Discard, b.ReadCloser, maxDiscardBytes+1)
 	return err == io.EOF
 }
