Let TestRepeats wait until the host knows the new entry of a server

It changed the entry of a server and went on at once. A request that the host still sent to the server under its old entry left a connection whose answers had ids; the next answer on it was the stand-in's 421 without an id, which is not believed, by design: "sent an answer without the id of a request", after 10 earlier answers.

The test waits for the entry now, and still asks for all 40 answers.

--- a/pkg/steer/request_test.go
+++ b/pkg/steer/request_test.go
@@ -109,6 +109,19 @@
 					ID: "s2", Pool: "p", Address: freeAddress(t), Domain: "a-1", Slots: 4, StartedMS: 2,
 				}})
 			}
+			// A request that went to s2 before would leave a connection on which answers
+			// had ids, so that a 421 without one is not believed.
+			require.Eventually(t, func() bool {
+				switch {
+				case strings.HasSuffix(name, "wrong server"):
+					_, known := h.pool("p").server("other")
+					return known
+				case strings.HasSuffix(name, "not there"):
+					s, _ := h.pool("p").server("s2")
+					return s.Address != servers["s2"].address
+				}
+				return true
+			}, waitTimeout, time.Millisecond)
 			// Each key prefers one of the servers; with 40 keys, some prefer s2.
 			served := 0
 			for i := range 40 {
@@ -124,9 +137,11 @@
 			}
 			ids := map[string]int{}
 			for _, s := range servers {
+				s.mu.Lock()
 				for _, id := range s.ids {
 					ids[id]++
 				}
+				s.mu.Unlock()
 			}
 			if !tc.served {
 				for id, n := range ids {
