--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -62,6 +62,8 @@
 	manyConns  = 1500 // more than the process has descriptors for
 	someConns  = 500
 	http2Conns = 20
+	// manyHTTP2Conns is more than the listener for callers takes.
+	manyHTTP2Conns = 300
 )
 
 // TestSilentConns guards against connections that carry nothing and take all descriptors.
@@ -92,6 +94,14 @@
 // TestStreamsWithSmallWindows guards against HTTP/2 streams whose answers nobody reads.
 func TestStreamsWithSmallWindows(t *testing.T) { play(t, "caller", http2Conns, smallWindows) }
 
+// TestManyConnsWithStreams guards against HTTP/2 streams on many connections, whose clients
+// cancel them, stall in their bodies or read nothing of their answers.
+func TestManyConnsWithStreams(t *testing.T) {
+	for name, run := range map[string]client{"cancelled": resetStreams, "stalled": stallStreams, "small windows": smallWindows} {
+		t.Run(name, func(t *testing.T) { play(t, "caller", manyHTTP2Conns, run) })
+	}
+}
+
 // TestStalledStreams guards against HTTP/2 streams whose bodies do not end.
 func TestStalledStreams(t *testing.T) { playEach(t, http2Conns, stallStreams) }
 
