Say how old the copies of the store are, where they come from and why they are not newer

Neither a line of a refused request nor a metric told whether the host had an old copy, from which source, or whether it had been offered a newer one and had ignored it, so that the hypotheses could not be told apart.

The line of each request that the host ends has age, revision and source of its copies of tables and servers, and the news that was not taken with the reason. /dump has the same at any time, tamarackswitch_steer_copy_age_seconds, _copy_revision and _news_not_taken_total over time, and the log a line when news is refused for the first time and when it is taken again. Nothing that decides a request was changed.

TestRefusedRequestNamesItsCopies, TestNewsThatIsNotTaken.

--- a/pkg/core/feed/feed.go
+++ b/pkg/core/feed/feed.go
@@ -60,6 +60,21 @@
 // copy is older than the oldest tombstone gets all items instead of the changes.
 const maxRemovals = 512
 
+// Outcome says what became of changes that were offered to a copy.
+type Outcome int
+
+const (
+	Unchanged     Outcome = iota // the copy was up to date already
+	Changed                      // the copy has taken the changes
+	OlderRevision                // ignored: the copy has a higher revision
+)
+
+// String returns the outcome for logs and metrics.
+func (o Outcome) String() string { return [...]string{"unchanged", "changed", "older-revision"}[o] }
+
+// Taken reports whether the copy is as new as the changes.
+func (o Outcome) Taken() bool { return o <= Changed }
+
 // Replica is the copy of the store's objects of one kind, with tombstones of the
 // objects removed last. It is not safe for concurrent use.
 type Replica struct {
@@ -96,12 +111,12 @@
 	}
 }
 
-// Apply applies changes to the copy and reports whether an item changed. It
-// ignores changes whose revision is below that of the copy, so that the changes
-// may come from different sources, such as the store and another host.
-func (l *Replica) Apply(c Changes) bool {
+// Apply applies changes to the copy. It ignores changes whose revision is below
+// that of the copy, so that the changes may come from different sources, such as
+// the store and another host.
+func (l *Replica) Apply(c Changes) Outcome {
 	if c.Revision < l.revision {
-		return false
+		return OlderRevision
 	}
 	changed := false
 	seen := make(map[string]bool, len(c.Items))
@@ -134,7 +149,10 @@
 	if changed || l.lastChange == 0 {
 		l.lastChange = c.Revision
 	}
-	return changed
+	if changed {
+		return Changed
+	}
+	return Unchanged
 }
 
 func (l *Replica) remove(name string, revision int64) bool {
--- a/pkg/core/feed/feed_test.go
+++ b/pkg/core/feed/feed_test.go
@@ -30,11 +30,11 @@
 // revision answers late.
 func TestOlderChangesAreIgnored(t *testing.T) {
 	l := NewReplica()
-	require.True(t, l.Apply(Changes{Revision: 5, Complete: true, Items: []Item{item("a", 3), item("b", 5)}}))
-	require.True(t, l.Apply(Changes{Revision: 7, Items: []Item{{Name: "a", Revision: 7, Deleted: true}}}))
-	require.False(t, l.Apply(Changes{Revision: 6, Complete: true, Items: []Item{item("a", 3), item("b", 5)}}))
+	require.Equal(t, Changed, l.Apply(Changes{Revision: 5, Complete: true, Items: []Item{item("a", 3), item("b", 5)}}))
+	require.Equal(t, Changed, l.Apply(Changes{Revision: 7, Items: []Item{{Name: "a", Revision: 7, Deleted: true}}}))
+	require.Equal(t, OlderRevision, l.Apply(Changes{Revision: 6, Complete: true, Items: []Item{item("a", 3), item("b", 5)}}))
 	require.Equal(t, []string{"b"}, names(l))
-	require.False(t, l.Apply(Changes{Revision: 9}))
+	require.Equal(t, Unchanged, l.Apply(Changes{Revision: 9}))
 	require.Equal(t, int64(9), l.Revision())
 	require.Equal(t, int64(7), l.LastChangeRevision(), "a follower need not fetch what did not change")
 }
--- a/pkg/steer/apply.go
+++ b/pkg/steer/apply.go
@@ -14,18 +14,19 @@
 
 // applyTable puts a version of the tables in force. Versions that are not newer
 // than the current one are ignored, so that the version never decreases within a
-// process.
-func (h *Host) applyTable(t *fleet.Table) {
+// process. It reports whether the version is in force.
+func (h *Host) applyTable(t *fleet.Table) bool {
 	h.tableMu.Lock()
 	defer h.tableMu.Unlock()
 	old := h.table.Load()
 	if old != nil && old.Version >= t.Version {
-		return
+		return old.Version == t.Version
 	}
 	t.Index()
 	h.table.Store(t)
 	h.log.tableApplied(old, t)
 	h.updatePools()
+	return true
 }
 
 // applyServers updates the registry with the backend servers that the store
--- a/pkg/steer/control.go
+++ b/pkg/steer/control.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uptrace/bunrouter"
 
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 )
 
@@ -43,6 +45,12 @@
 	Loads map[string]int `json:"loads"`
 	// Evacuated is the set of evacuated failure domains.
 	Evacuated map[string]bool `json:"evacuated"`
+	// Copies describes this host's copy of the store by kind of objects.
+	Copies map[string]copyStatus `json:"copies"`
+	// Watching is set if this host watches the store itself; otherwise Following is
+	// the host from which it fetches the changes, if there is one.
+	Watching  bool   `json:"watching"`
+	Following string `json:"following"`
 	// Dispatchers is the name of the dispatching entry host by pool.
 	Dispatchers map[string]string `json:"dispatchers"`
 }
@@ -51,7 +59,12 @@
 func (h *Host) Dump() Dump {
 	d := Dump{
 		Host: h.self, Leaving: h.leaving.Load(), Held: h.held.Load(), Peers: h.view.Load().hosts, Dispatchers: h.view.Load().dispatchers,
-		Servers: map[string]int{}, Loads: map[string]int{}, Evacuated: *h.evacuated.Load(),
+		Servers: map[string]int{}, Loads: map[string]int{}, Evacuated: *h.evacuated.Load(), Copies: map[string]copyStatus{},
+	}
+	role := h.feeds.currentRole()
+	d.Watching, d.Following = role.Watch, role.Follow
+	for kind := range feed.NumKinds {
+		d.Copies[kind.String()] = h.copyStatus(time.Now(), kind)
 	}
 	if t := h.table.Load(); t != nil {
 		d.TableVersion = t.Version
--- /dev/null
+++ b/pkg/steer/copies_test.go
@@ -0,0 +1,109 @@
+package steer
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
+	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
+)
+
+// logBuffer keeps log lines. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// lines returns the lines with a message.
+func (b *logBuffer) lines(t *testing.T, message string) (out []map[string]any) {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, line := range strings.Split(strings.TrimSpace(b.text.String()), "\n") {
+		var fields map[string]any
+		require.NoError(t, json.Unmarshal([]byte(line), &fields), line)
+		if fields["message"] == message {
+			out = append(out, fields)
+		}
+	}
+	return out
+}
+
+// Guards against a refused request of which nobody can tell how old the tables and
+// servers were that refused it, where they came from, and why there were no newer ones.
+func TestRefusedRequestNamesItsCopies(t *testing.T) {
+	var out logBuffer
+	source := newSource()
+	putTable(source, 3)
+	putServer(source, newTestServer(t, "s1", answerOK), "a-1")
+	h := startLoggingHost(t, source, "h1", "a-1", "info", &out)
+	ready(t, h, 1)
+	refuse := func() map[string]any {
+		before := len(out.lines(t, "request"))
+		status, _, _ := sendRequest(t, h, "GET", "/unknown/")
+		require.Equal(t, 404, status)
+		require.Eventually(t, func() bool { return len(out.lines(t, "request")) > before }, waitTimeout, time.Millisecond)
+		return out.lines(t, "request")[before]
+	}
+	line := refuse()
+	require.Equal(t, "store", line["tables_source"])
+	require.Equal(t, "store", line["servers_source"])
+	require.EqualValues(t, 3, line["tables_revision"])
+	require.Less(t, line["tables_age_ms"], float64(waitTimeout.Milliseconds()))
+	require.NotContains(t, line, "tables_not_taken")
+
+	source.setDown(true)
+	require.Eventually(t, func() bool { return h.copyStatus(time.Now(), feed.Servers).NotTaken != nil }, waitTimeout, time.Millisecond)
+	line = refuse()
+	require.Contains(t, line["servers_not_taken"], "call-failed from store")
+	require.NotEmpty(t, out.lines(t, "news of the store not taken"))
+	source.setDown(false)
+	require.Eventually(t, func() bool { return h.copyStatus(time.Now(), feed.Servers).NotTaken == nil }, waitTimeout, time.Millisecond)
+	require.NotEmpty(t, out.lines(t, "news of the store taken again"))
+}
+
+// Guards against news that disappears without a trace: each reason for which a host
+// does not take it is in its status, in a metric and once in the log.
+func TestNewsThatIsNotTaken(t *testing.T) {
+	table := func(version, revision int64) feed.Item {
+		return feed.Item{Name: "main", Revision: revision, Table: &fleet.Table{Version: version}}
+	}
+	for reason, news := range map[string][]feed.Changes{
+		"older-revision":    {{Revision: 8, Items: []feed.Item{table(12, 8)}}, {Revision: 9, Items: []feed.Item{table(13, 9)}}},
+		"version-not-above": {{Revision: 11, Items: []feed.Item{table(9, 11)}}, {Revision: 12, Items: []feed.Item{table(8, 12)}}},
+		"unreadable":        {{Revision: 11, Keep: []string{"main"}}, {Revision: 12, Keep: []string{"main"}}},
+	} {
+		t.Run(reason, func(t *testing.T) {
+			h := newUnstartedHost(t)
+			h.applyChanges(feed.Tables, sourceStore, feed.Changes{Revision: 10, Complete: true, Items: []feed.Item{table(10, 10)}}, time.Now())
+			before := h.copyStatus(time.Now(), feed.Tables)
+			require.Nil(t, before.NotTaken)
+			require.Equal(t, sourceStore, before.Source)
+			for _, c := range news {
+				h.applyChanges(feed.Tables, "h2", c, time.Now())
+			}
+			got := h.copyStatus(time.Now(), feed.Tables).NotTaken
+			require.NotNil(t, got)
+			require.Equal(t, reason, got.Reason)
+			require.Equal(t, "h2", got.Source)
+			require.Equal(t, 2, got.Count)
+			require.EqualValues(t, 2, testutil.ToFloat64(h.metrics.notTaken.WithLabelValues("tables", reason)))
+			h.applyChanges(feed.Tables, sourceStore, feed.Changes{Revision: 20, Items: []feed.Item{table(20, 20)}}, time.Now())
+			require.Nil(t, h.copyStatus(time.Now(), feed.Tables).NotTaken)
+			require.Equal(t, sourceStore, h.copyStatus(time.Now(), feed.Tables).Source)
+		})
+	}
+}
--- a/pkg/steer/helpers_test.go
+++ b/pkg/steer/helpers_test.go
@@ -192,6 +192,12 @@
 }
 
 func startHost(t *testing.T, source Source, name, domain string) *Host {
+	t.Helper()
+	return startLoggingHost(t, source, name, domain, "warn", io.Discard)
+}
+
+// startLoggingHost is startHost with a log level and a writer for the log.
+func startLoggingHost(t *testing.T, source Source, name, domain, level string, out io.Writer) *Host {
 	t.Helper()
 	cfg := &Settings{
 		Name: name, Domain: domain, Regions: map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"},
@@ -205,9 +211,9 @@
 			Grace: units.Duration(6 * time.Second), LookupLife: units.Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100,
 			RetryWindow: units.Duration(10 * time.Second),
 		},
-		Log: Log{Level: "warn", LinesPerSecond: 100},
+		Log: Log{Level: level, LinesPerSecond: 100},
 	}
-	h := New(cfg, testNames, source, &log.Logger{Level: log.WarnLevel, Writer: log.IOWriter{Writer: io.Discard}})
+	h := New(cfg, testNames, source, &log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: out}})
 	require.NoError(t, h.Start())
 	t.Cleanup(func() { _ = h.Stop() })
 	return h
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -77,7 +77,11 @@
 	poolsMu sync.RWMutex // guards pools
 	pools   map[string]*pool
 
-	feeds         *storeFeeds
+	feeds  *storeFeeds
+	copies copyHistory
+	// tablesRefused is set while the newest tables have a lower version than those in
+	// force.
+	tablesRefused atomic.Bool
 	splits        splits
 	peers         *peers
 	view          atomic.Pointer[view]
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -199,8 +199,9 @@
 }
 
 // request logs the outcome of a request and what it depended on: the table version,
-// route, pool and server, and the server's load.
-func (l *eventLog) request(x *exchange, status int, err *result.Error) {
+// route, pool and server, and the server's load. If this host ended the request,
+// copies describes its copies of the tables and the servers.
+func (l *eventLog) request(x *exchange, status int, err *result.Error, copies func(feed.Kind) copyStatus) {
 	if !l.allow() {
 		return
 	}
@@ -232,10 +233,22 @@
 		if err.RetryAfter > 0 {
 			e = e.Int64("retry_after_ms", err.RetryAfter.Milliseconds())
 		}
+		for _, kind := range []feed.Kind{feed.Tables, feed.Servers} {
+			e = withCopy(e, kind.String(), copies(kind))
+		}
 	}
 	e.Msg("request")
 }
 
+// withCopy adds the status of this host's copy of one kind of objects.
+func withCopy(e *log.Entry, kind string, s copyStatus) *log.Entry {
+	e = e.Int64(kind+"_revision", s.Revision).Int64(kind+"_age_ms", s.AgeMS).Str(kind+"_source", s.Source)
+	if s.NotTaken != nil {
+		e = e.Str(kind+"_not_taken", s.NotTaken.String())
+	}
+	return e
+}
+
 // attempt logs an attempt that failed, with what happened on its connection.
 func (l *eventLog) attempt(x *exchange, took time.Duration, err *result.Error) {
 	if !l.allow() {
--- a/pkg/steer/metrics.go
+++ b/pkg/steer/metrics.go
@@ -27,6 +27,7 @@
 	notices            *prometheus.CounterVec
 	unreadable         *prometheus.GaugeVec
 	turnedAway         *prometheus.CounterVec
+	notTaken           *prometheus.CounterVec
 }
 
 // latencyBuckets are the upper bounds of the histograms' buckets in seconds.
@@ -81,6 +82,9 @@
 	m.turnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tamarackswitch_steer_turned_away_total", Help: "Connections that were closed and requests that were rejected because of a limit on clients, by listener and reason.",
 	}, []string{"listener", "reason"})
+	m.notTaken = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tamarackswitch_steer_news_not_taken_total", Help: "News of the store that this host did not take, by kind of objects and reason.",
+	}, []string{"kind", "reason"})
 	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tamarackswitch_steer_held_requests", Help: "Requests that were read and not answered.",
 	}, func() float64 { return float64(h.held.Load()) })
@@ -95,7 +99,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.doubts, m.refusals, m.notices, m.unreadable, m.turnedAway, held, late, version)
+	m.registry.MustRegister(m.requests, m.latency, m.waits, m.sends, m.storeCalls, m.logDropped, m.oversizedDatagrams, m.malformedMessages, m.panics, m.unsolicitedAnswers, m.doubts, m.refusals, m.notices, m.unreadable, m.turnedAway, m.notTaken, newCopyCollector(h), held, late, version)
 	h.log.dropped = m.logDropped
 	return m
 }
--- a/pkg/steer/odd_messages_test.go
+++ b/pkg/steer/odd_messages_test.go
@@ -135,7 +135,7 @@
 		}
 		for kind, c := range a.Changes {
 			if c != nil {
-				h.applyChanges(feed.Kind(kind), *c, time.Now())
+				h.applyChanges(feed.Kind(kind), "peer", *c, time.Now())
 			}
 		}
 	})
--- a/pkg/steer/reply.go
+++ b/pkg/steer/reply.go
@@ -23,7 +23,7 @@
 // reject answers the caller with an error of this host.
 func (h *Host) reject(x *exchange, err *result.Error) {
 	status := statusOf(err)
-	h.log.request(x, status, err)
+	h.logRequest(x, status, err)
 	h.metrics.observe(x, status, err.Code)
 	if err.Code == result.CallerGone {
 		// The caller has disconnected or its body is malformed: abort without an answer.
--- a/pkg/steer/request.go
+++ b/pkg/steer/request.go
@@ -81,12 +81,12 @@
 	}
 	defer answer.Close()
 	if _, err := answer.CopyTo(w); err != nil {
-		h.log.request(x, http.StatusOK, err)
+		h.logRequest(x, http.StatusOK, err)
 		// Abort the connection, so that the caller does not take the truncated answer
 		// for a complete one.
 		panic(http.ErrAbortHandler)
 	}
-	h.log.request(x, answer.Status, nil)
+	h.logRequest(x, answer.Status, nil)
 	h.metrics.observe(x, answer.Status, result.OK)
 }
 
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -164,7 +165,7 @@
 			}
 			if err == nil && ctx.Err() == nil {
 				h.recordUnreadable(kind.String(), changes.Complete, changes.Items, changes.Unreadable)
-				h.applyChanges(kind, changes, completeAt)
+				h.applyChanges(kind, sourceStore, changes, completeAt)
 			}
 		}
 		if !h.protect("store", readAndApply) {
@@ -175,6 +176,7 @@
 			return
 		case errors.Is(err, ErrHistoryGone):
 			h.log.historyGone(kind)
+			h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenHistoryGone})
 			listNext = true
 			continue
 		case err != nil:
@@ -196,19 +198,29 @@
 
 // applyChanges applies changes to the replica of a kind and puts the result in
 // force. If this host watches the store, it sends beacons at once, so that its
-// followers fetch the changes. completeAt is the last time at which the store is
-// known to have had no newer changes.
-func (h *Host) applyChanges(kind feed.Kind, c feed.Changes, completeAt time.Time) {
+// followers fetch the changes. source names who sent the changes, and completeAt is
+// the last time at which the store is known to have had no newer ones.
+func (h *Host) applyChanges(kind feed.Kind, source string, c feed.Changes, completeAt time.Time) {
 	for i := range c.Items {
 		if s := c.Items[i].Server; s != nil && s.ColdFor > 0 {
 			s.ColdUntil = time.Now().Add(s.ColdFor)
 		}
 	}
-	items, changed, watching := h.feeds.apply(kind, c, completeAt)
-	if !changed {
+	items, outcome, watching := h.feeds.apply(kind, c, completeAt)
+	if outcome == feed.Changed {
+		h.applyItems(kind, source, items)
+	}
+	switch {
+	case !outcome.Taken():
+		h.newsRefused(kind, notTaken{Source: source, Reason: outcome.String(), Revision: c.Revision})
+	case len(c.Keep) > 0:
+		h.newsRefused(kind, notTaken{Source: source, Reason: notTakenUnreadable, Revision: c.Revision})
+	default:
+		h.newsTaken(kind, source)
+	}
+	if outcome != feed.Changed {
 		return
 	}
-	h.applyItems(kind, items)
 	if watching {
 		h.sendBeaconsNow()
 	}
@@ -216,30 +228,34 @@
 
 // apply applies changes to the replica of a kind. If an item changed, it returns
 // all items. watching reports whether this host watches the store.
-func (f *storeFeeds) apply(kind feed.Kind, c feed.Changes, completeAt time.Time) (items []feed.Item, changed, watching bool) {
+func (f *storeFeeds) apply(kind feed.Kind, c feed.Changes, completeAt time.Time) (items []feed.Item, outcome feed.Outcome, watching bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	replica := f.replicas[kind]
-	changed = replica.Apply(c)
+	outcome = replica.Apply(c)
 	replica.Confirm(completeAt)
-	if !changed {
-		return nil, false, false
+	if outcome != feed.Changed {
+		return nil, outcome, false
 	}
 	items = make([]feed.Item, 0, len(replica.Items()))
 	for _, item := range replica.Items() {
 		items = append(items, item)
 	}
-	return items, true, f.role.Watch
+	return items, outcome, f.role.Watch
 }
 
-// applyItems puts all items of a kind in force.
-func (h *Host) applyItems(kind feed.Kind, items []feed.Item) {
+// applyItems puts all items of a kind, which source sent, in force.
+func (h *Host) applyItems(kind feed.Kind, source string, items []feed.Item) {
 	switch kind {
 	case feed.Tables:
 		for _, item := range items {
 			if item.Table != nil {
 				t := *item.Table // a copy, because applyTable indexes it
-				h.applyTable(&t)
+				inForce := h.applyTable(&t)
+				h.tablesRefused.Store(!inForce)
+				if !inForce {
+					h.newsRefused(kind, notTaken{Source: source, Reason: notTakenVersion, Revision: item.Revision, Detail: fmt.Sprintf("version %d", t.Version)})
+				}
 			}
 		}
 	case feed.Servers:
@@ -365,8 +381,9 @@
 		behind = behind || replica.Revision() < p.changeRevisions[k] || replica.Revision() == 0
 	}
 	if !behind {
-		for _, replica := range f.replicas {
+		for kind, replica := range f.replicas {
 			replica.Confirm(p.heardAt.Add(-p.copyAge))
+			h.newsTaken(feed.Kind(kind), from)
 		}
 		return false
 	}
@@ -380,7 +397,7 @@
 	}
 	h.tomb.Go(func() error {
 		var err error
-		if !h.protect("peer", func() { err = h.fetchChanges(p.host.ControlAddress, query) }) {
+		if !h.protect("peer", func() { err = h.fetchChanges(from, p.host.ControlAddress, query) }) {
 			err = errPanicked
 		}
 		f.mu.Lock()
@@ -388,16 +405,19 @@
 		f.mu.Unlock()
 		if err != nil && h.tomb.Alive() {
 			h.log.warn(err, "could not fetch changes from a peer")
+			for kind := range feed.NumKinds {
+				h.newsRefused(kind, notTaken{Source: from, Reason: notTakenFetchFailed, Detail: err.Error()})
+			}
 		}
 		return nil
 	})
 	return true
 }
 
-// fetchChanges fetches and applies the changes that a host has after the revisions
-// in query. The transfer is cancelled if it makes no progress for
+// fetchChanges fetches and applies the changes that the host from has after the
+// revisions in query. The transfer is cancelled if it makes no progress for
 // fetchStallTimeout.
-func (h *Host) fetchChanges(address string, query url.Values) error {
+func (h *Host) fetchChanges(from, address string, query url.Values) error {
 	ctx, cancel := context.WithCancel(h.tomb.Context(context.Background()))
 	defer cancel()
 	stallTimer := time.AfterFunc(fetchStallTimeout, cancel)
@@ -439,7 +459,7 @@
 	}
 	for kind, c := range answer.Changes {
 		if c != nil {
-			h.applyChanges(feed.Kind(kind), *c, completeAt)
+			h.applyChanges(feed.Kind(kind), from, *c, completeAt)
 		}
 	}
 	if len(answer.Leaving) > 0 {
@@ -464,5 +484,6 @@
 // storeFailed logs and counts a failed call to the store.
 func (h *Host) storeFailed(kind feed.Kind, err error) {
 	h.log.storeFailed(kind.String(), err)
+	h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenCallFailed, Detail: err.Error()})
 	h.metrics.storeCalls.WithLabelValues(kind.String(), "failed").Inc()
 }
