Reproduce watches that go on from a revision of the lost state

TestRestoredStoreRevisionsPassed: the store returns from a copy, a configuration and a drain are written, and more than 400 other writes take its revision past the old one before any host reaches it. Watches from the old revisions then succeed, without 410, and lack the configuration: on all six hosts the new route is 404 and the dropped one served to the end of the run, 5.9 s after the acknowledgement (one run). The drain was obeyed in that run.

TestRestoredStoreNewsInForce also checks that a server that had been draining gets requests again once it has started anew under its id. It got none in 5 s on this code (one run).

--- a/test/soak/restored_store_test.go
+++ b/test/soak/restored_store_test.go
@@ -492,6 +492,10 @@
 	until(written, applyBound+1500*time.Millisecond)
 	end := time.Now()
 	d.store.EndEvacuation("a-2")
+	again := d.entries["drained"]
+	again.StartedMS = end.UnixMilli()
+	d.entries["drained"] = again
+	d.publish("drained", "ready")
 	until(end, evacuateBound)
 	stop()
 
@@ -502,6 +506,7 @@
 	d.checkRoute("route that stays", "/safe/", true, before, 0, end)
 	d.checkVersions(returned)
 	d.checkNoRuns("draining before the restore", "drained", drained, drainBound, end)
+	d.checkRuns("started again under its id", "drained", end, end.Add(evacuateBound))
 	d.checkNoRuns("left before the restore", "left", drained, drainBound, end)
 	for _, id := range []string{"evacuated-1", "evacuated-2"} {
 		d.checkNoRuns("evacuation before the restore", id, drained, evacuateBound, end)
@@ -557,6 +562,52 @@
 	d.finish(returned)
 }
 
+// TestRestoredStoreRevisionsPassed guards against hosts that go on watching from a
+// revision of the lost state, because the store has passed it again when they reach it:
+// the watch succeeds and lacks what was written between the copy and that revision.
+func TestRestoredStoreRevisionsPassed(t *testing.T) {
+	t.Parallel()
+	d := newDrill(t)
+	d.configure(2)
+	for _, id := range []string{"stays-1", "stays-2", "drains"} {
+		d.addServer(id, "a-1")
+	}
+	d.startHosts()
+	_, stop := d.startAllTraffic()
+	time.Sleep(time.Second)
+	d.copied = time.Now()
+	d.raiseRevision()
+	before := d.configure(5)
+	until(before, applyBound)
+
+	away := standin.Faults{Status: http.StatusServiceUnavailable}
+	d.store.SetFaults(away)
+	time.Sleep(awayTime / 2)
+	_, revision := d.store.Era()
+	d.store.Restore(time.Since(d.copied))
+	written, drains := d.configure(9), d.publish("drains", "draining")
+	d.raiseRevision()
+	d.raiseRevision()
+	_, passed := d.store.Era()
+	require.Greater(t, passed, revision)
+	time.Sleep(awayTime / 2)
+	d.store.SetFaults(standin.Faults{})
+	returned := time.Now()
+	for n := range d.hosts {
+		d.backInTouch[n] = returned
+	}
+	until(returned, stableWindow+1500*time.Millisecond)
+	end := time.Now()
+	stop()
+
+	d.checkRoute("configuration before the restore", onlyIn(5), true, before, applyBound, written)
+	d.checkRoute("new configuration, route added", onlyIn(9), true, written, applyBound, end)
+	d.checkRoute("new configuration, route dropped", onlyIn(5), false, written, applyBound, end)
+	d.checkVersions(returned)
+	d.checkNoRuns("draining after the restore", "drains", drains, drainBound, end)
+	d.finish(returned)
+}
+
 // TestRestoredStoreHostsOutOfReach guards against hosts that stay at an earlier era, or
 // bring it back to others, because they were cut off from the store, turned away,
 // started, killed or stopped while it returned from a copy.
