--- a/pkg/core/feed/feed.go
+++ b/pkg/core/feed/feed.go
@@ -5,6 +5,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
@@ -33,11 +34,13 @@
 	Server   *fleet.Server `cbor:"5,keyasint,omitempty"`
 }
 
-// Changes holds the items of one kind that changed after a revision.
+// Changes holds the items of one kind that changed after a position.
 type Changes struct {
 	// Revision is the store's revision that a copy has reached once the changes
 	// are applied.
 	Revision int64 `cbor:"1,keyasint"`
+	// Era is the store's era to which Revision and the revisions of Items belong.
+	Era int64 `cbor:"4,keyasint,omitempty"`
 	// Complete is set if Items lists all existing objects; the receiver then removes
 	// all others from its copy.
 	Complete bool   `cbor:"2,keyasint,omitempty"`
@@ -49,6 +52,9 @@
 	Unreadable []Unreadable `cbor:"-"`
 }
 
+// Position returns the position that a copy has reached once the changes are applied.
+func (c *Changes) Position() Position { return Position{c.Era, c.Revision} }
+
 // Unreadable is an object of the store that could not be decoded.
 type Unreadable struct {
 	// Name is empty if the name could not be decoded either.
@@ -64,28 +70,41 @@
 type Outcome int
 
 const (
-	Unchanged     Outcome = iota // the copy was up to date already
-	Changed                      // the copy has taken the changes
-	OlderRevision                // ignored: the copy has a higher revision
+	Unchanged Outcome = iota // the copy was up to date already
+	Changed                  // the copy has taken the changes
+	// Restored means that the copy has taken a complete list of a new era, in place
+	// of everything that it held.
+	Restored
+	OlderRevision // ignored: the copy has a higher revision of the same era
+	OlderEra      // ignored: the copy belongs to a later era
+	// ListNeeded means that the changes were ignored because they belong to a later
+	// era than the copy, which only a complete list can bring it to.
+	ListNeeded
 )
 
 // String returns the outcome for logs and metrics.
-func (o Outcome) String() string { return [...]string{"unchanged", "changed", "older-revision"}[o] }
+func (o Outcome) String() string {
+	return [...]string{"unchanged", "changed", "restored", "older-revision", "older-era", "list-needed"}[o]
+}
 
 // Taken reports whether the copy is as new as the changes.
-func (o Outcome) Taken() bool { return o <= Changed }
+func (o Outcome) Taken() bool { return o <= Restored }
 
 // Replica is the copy of the store's objects of one kind, with tombstones of the
 // objects removed last. It is not safe for concurrent use.
 type Replica struct {
-	items    map[string]Item
-	removed  []Item // tombstones in the order of their revisions
-	revision int64
-	// lastChange is the revision at which an item last changed.
-	lastChange int64
-	// historyFloor is the oldest revision since which there are tombstones of
-	// all removals.
+	items map[string]Item
+	// removed holds the tombstones of the present era in the order of their
+	// revisions, with what the objects were.
+	removed  []Item
+	position Position
+	// lastChange is the position at which an item last changed.
+	lastChange Position
+	// historyFloor is the oldest revision of the present era since which there are
+	// tombstones of all removals.
 	historyFloor int64
+	// restored is set once the copy has taken a new era in place of an earlier one.
+	restored bool
 	// confirmed is when the store was last known to hold nothing newer.
 	confirmed time.Time
 }
@@ -93,13 +112,13 @@
 // NewReplica returns an empty copy.
 func NewReplica() *Replica { return &Replica{items: map[string]Item{}} }
 
-// Revision returns the store's revision that the copy has reached, or 0 if
-// nothing was applied yet.
-func (l *Replica) Revision() int64 { return l.revision }
+// Position returns the position that the copy has reached, the zero value if nothing
+// was applied yet.
+func (l *Replica) Position() Position { return l.position }
 
-// LastChangeRevision returns the revision at which an item last changed. A follower whose
-// revision is at least this one is up to date.
-func (l *Replica) LastChangeRevision() int64 { return l.lastChange }
+// LastChange returns the position at which an item last changed. A follower whose
+// position is not before this one is up to date.
+func (l *Replica) LastChange() Position { return l.lastChange }
 
 // Confirmed returns when the copy was last known to be up to date with the store.
 func (l *Replica) Confirmed() time.Time { return l.confirmed }
@@ -111,11 +130,21 @@
 	}
 }
 
-// Apply applies changes to the copy. It ignores changes whose revision is below
-// that of the copy, so that the changes may come from different sources, such as
-// the store and another host.
+// Apply applies changes to the copy. It ignores changes whose position is before
+// that of the copy, so that the changes may come from different sources, such as the
+// store and another host. Revisions of different eras are not compared: the first
+// list of an era replaces all items.
 func (l *Replica) Apply(c Changes) Outcome {
-	if c.Revision < l.revision {
+	switch at := c.Position(); {
+	case l.position.Known() && at.Era > l.position.Era:
+		if !c.Complete {
+			return ListNeeded
+		}
+		l.replace(c)
+		return Restored
+	case at.Era < l.position.Era:
+		return OlderEra
+	case at.Before(l.position):
 		return OlderRevision
 	}
 	changed := false
@@ -123,7 +152,7 @@
 	for _, item := range c.Items {
 		seen[item.Name] = true
 		if item.Deleted {
-			changed = l.remove(item.Name, max(item.Revision, l.revision)) || changed
+			changed = l.remove(item.Name, max(item.Revision, l.position.Revision)) || changed
 			continue
 		}
 		if current, ok := l.items[item.Name]; ok && current.Revision >= item.Revision {
@@ -141,13 +170,13 @@
 				changed = l.remove(name, c.Revision) || changed
 			}
 		}
-		if l.revision == 0 {
+		if !l.position.Known() {
 			l.historyFloor = c.Revision
 		}
 	}
-	l.revision = c.Revision
-	if changed || l.lastChange == 0 {
-		l.lastChange = c.Revision
+	l.position = c.Position()
+	if changed || !l.lastChange.Known() {
+		l.lastChange = l.position
 	}
 	if changed {
 		return Changed
@@ -155,12 +184,38 @@
 	return Unchanged
 }
 
+// replace takes the first list of a new era. Followers get all items, because the
+// tombstones of the era before have other revisions.
+func (l *Replica) replace(c Changes) {
+	items := make(map[string]Item, len(c.Items))
+	for _, name := range c.Keep {
+		if item, ok := l.items[name]; ok {
+			item.Revision = c.Revision // its own one belongs to the era before
+			items[name] = item
+		}
+	}
+	for _, item := range c.Items {
+		if !item.Deleted {
+			items[item.Name] = item
+		}
+	}
+	l.items, l.removed, l.restored = items, nil, true
+	l.position, l.lastChange, l.historyFloor = c.Position(), c.Position(), c.Revision
+}
+
 func (l *Replica) remove(name string, revision int64) bool {
-	if _, ok := l.items[name]; !ok {
-		return false
+	tombstone, ok := l.items[name]
+	if !ok {
+		// After a restore, hosts hold objects that the copy lacks, and have to learn that
+		// one was written again and removed since.
+		if !l.restored || slices.ContainsFunc(l.removed, func(i Item) bool { return i.Name == name }) {
+			return false
+		}
+		tombstone = Item{Name: name}
 	}
 	delete(l.items, name)
-	l.removed = append(l.removed, Item{Name: name, Revision: revision, Deleted: true})
+	tombstone.Revision, tombstone.Deleted = revision, true
+	l.removed = append(l.removed, tombstone)
 	if extra := len(l.removed) - maxRemovals; extra > 0 {
 		l.historyFloor = l.removed[extra-1].Revision
 		l.removed = append(l.removed[:0], l.removed[extra:]...)
@@ -169,16 +224,16 @@
 }
 
 // Since returns the changes that a follower needs to bring its copy from the
-// revision after up to date. A follower without a copy (after is 0), or whose copy
-// is older than the tombstones, gets all items.
-func (l *Replica) Since(after int64) Changes {
-	out := Changes{Revision: l.revision}
-	if after == 0 || after < l.historyFloor {
+// position after up to date. A follower without a copy, with one of another era, or
+// with one that is older than the tombstones gets all items.
+func (l *Replica) Since(after Position) Changes {
+	out := Changes{Era: l.position.Era, Revision: l.position.Revision}
+	if !after.Known() || after.Era != l.position.Era || after.Revision < l.historyFloor {
 		out.Complete = true
-		after = 0
+		after = Position{}
 	}
 	for _, item := range l.items {
-		if item.Revision > after {
+		if out.Complete || item.Revision > after.Revision {
 			out.Items = append(out.Items, item)
 		}
 	}
@@ -186,9 +241,9 @@
 		for _, item := range l.removed {
 			// A tombstone may have the revision that the copy had before the
 			// removal, so a follower at just this revision needs it, too.
-			if item.Revision >= after {
+			if item.Revision >= after.Revision {
 				if _, recreated := l.items[item.Name]; !recreated {
-					out.Items = append(out.Items, item)
+					out.Items = append(out.Items, Item{Name: item.Name, Revision: item.Revision, Deleted: true})
 				}
 			}
 		}
@@ -198,3 +253,15 @@
 
 // Items returns all items by name; the caller must not change the map.
 func (l *Replica) Items() map[string]Item { return l.items }
+
+// Removed returns the tombstones of the objects that were removed last and do not
+// exist again, with what the objects were.
+func (l *Replica) Removed() []Item {
+	var out []Item
+	for _, item := range l.removed {
+		if _, recreated := l.items[item.Name]; !recreated {
+			out = append(out, item)
+		}
+	}
+	return out
+}
--- a/pkg/core/feed/feed_test.go
+++ b/pkg/core/feed/feed_test.go
@@ -35,52 +35,138 @@
 	require.Equal(t, OlderRevision, l.Apply(Changes{Revision: 6, Complete: true, Items: []Item{item("a", 3), item("b", 5)}}))
 	require.Equal(t, []string{"b"}, names(l))
 	require.Equal(t, Unchanged, l.Apply(Changes{Revision: 9}))
-	require.Equal(t, int64(9), l.Revision())
-	require.Equal(t, int64(7), l.LastChangeRevision(), "a follower need not fetch what did not change")
+	require.Equal(t, Position{Revision: 9}, l.Position())
+	require.Equal(t, Position{Revision: 7}, l.LastChange(), "a follower need not fetch what did not change")
 }
 
 // Guards against followers that end up with other items than their source,
-// whichever intermediate changes they skip.
+// whichever intermediate changes they skip, also if the store comes back from an older
+// copy.
 func TestFollowersConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		source, follower := NewReplica(), NewReplica()
-		revision := int64(1)
-		source.Apply(Changes{Revision: revision, Complete: true})
+		at := Position{Era: 1, Revision: 1}
+		source.Apply(Changes{Era: at.Era, Revision: at.Revision, Complete: true})
 		live := map[string]Item{}
+		list := func() Changes {
+			out := Changes{Era: at.Era, Revision: at.Revision, Complete: true}
+			for _, i := range live {
+				out.Items = append(out.Items, i)
+			}
+			return out
+		}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			name := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "name"))
-			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
-				revision++
-				live[name] = item(name, revision)
-				source.Apply(Changes{Revision: revision, Items: []Item{live[name]}})
+				at.Revision++
+				live[name] = item(name, at.Revision)
+				source.Apply(Changes{Era: at.Era, Revision: at.Revision, Items: []Item{live[name]}})
 			case 1:
-				revision++
+				at.Revision++
 				delete(live, name)
-				source.Apply(Changes{Revision: revision, Items: []Item{{Name: name, Revision: revision, Deleted: true}}})
+				source.Apply(Changes{Era: at.Era, Revision: at.Revision, Items: []Item{{Name: name, Revision: at.Revision, Deleted: true}}})
 			case 2:
-				revision++
-				list := Changes{Revision: revision, Complete: true}
-				for _, i := range live {
-					list.Items = append(list.Items, i)
-				}
-				source.Apply(list)
+				at.Revision++
+				source.Apply(list())
 			case 3:
-				follower.Apply(source.Since(follower.Revision()))
+				follower.Apply(source.Since(follower.Position()))
+			case 4:
+				at = Position{Era: at.Era + 1, Revision: rapid.Int64Range(1, at.Revision).Draw(t, "copy")}
+				for name, i := range live {
+					if i.Revision > at.Revision {
+						delete(live, name)
+					}
+				}
+				source.Apply(list())
 			}
 		}
-		follower.Apply(source.Since(follower.Revision()))
+		follower.Apply(source.Since(follower.Position()))
 		require.Equal(t, source.Items(), follower.Items())
-		require.GreaterOrEqual(t, follower.Revision(), source.LastChangeRevision())
+		require.False(t, follower.Position().Before(source.LastChange()))
 	})
 }
 
+// Guards against copies that stand still after the store has come back from an older
+// copy, because its revisions are below those that they have reached.
+func TestRestoredStoreReplacesCopy(t *testing.T) {
+	l := NewReplica()
+	l.Apply(Changes{Era: 1, Revision: 131, Complete: true, Items: []Item{item("a", 120), item("b", 130)}})
+	require.Equal(t, ListNeeded, l.Apply(Changes{Era: 2, Revision: 140, Items: []Item{item("a", 140)}}), "a watch may go on without a list")
+	require.Equal(t, Position{Era: 1, Revision: 131}, l.Position())
+	require.Equal(t, Restored, l.Apply(Changes{Era: 2, Revision: 60, Complete: true, Items: []Item{item("a", 50)}}))
+	require.Equal(t, int64(50), l.Items()["a"].Revision)
+	require.NotContains(t, l.Items(), "b")
+	require.Equal(t, Position{Era: 2, Revision: 60}, l.LastChange(), "followers have to fetch the copy of the new era")
+	require.Equal(t, OlderEra, l.Apply(Changes{Era: 1, Revision: 500, Complete: true, Items: []Item{item("late", 500)}}))
+	require.Equal(t, OlderRevision, l.Apply(Changes{Era: 2, Revision: 59}))
+	require.Equal(t, Changed, l.Apply(Changes{Era: 2, Revision: 61, Items: []Item{item("a", 61)}}))
+	require.Equal(t, Restored, l.Apply(Changes{Era: 3, Revision: 60, Complete: true, Items: []Item{item("a", 50)}}), "a second time within moments")
+
+	// Written again and removed before this host saw it: followers may still hold it.
+	removal := []Item{{Name: "b", Revision: 62, Deleted: true}}
+	require.Equal(t, Changed, l.Apply(Changes{Era: 3, Revision: 62, Items: removal}))
+	require.Equal(t, removal, l.Since(Position{Era: 3, Revision: 60}).Items)
+	require.Equal(t, Unchanged, l.Apply(Changes{Era: 3, Revision: 63, Items: []Item{{Name: "b", Revision: 63, Deleted: true}}}))
+}
+
+// Guards against a follower that takes the revisions of an earlier era for those of its
+// source, and so misses what is not in the new era.
+func TestRestoredStoreReachesFollowers(t *testing.T) {
+	source, follower := NewReplica(), NewReplica()
+	source.Apply(Changes{Era: 1, Revision: 100, Complete: true, Items: []Item{item("kept", 10), item("lost", 90)}})
+	follower.Apply(source.Since(follower.Position()))
+	source.Apply(Changes{Era: 2, Revision: 60, Complete: true, Items: []Item{item("kept", 10)}})
+	source.Apply(Changes{Era: 2, Revision: 200, Items: []Item{item("new", 200)}}) // above the old revisions again
+	require.True(t, follower.Position().Before(source.LastChange()))
+	c := source.Since(follower.Position())
+	require.True(t, c.Complete)
+	require.Equal(t, Restored, follower.Apply(c))
+	require.Equal(t, []string{"kept", "new"}, names(follower))
+	require.True(t, source.Since(Position{Era: 1, Revision: 300}).Complete)
+	require.Equal(t, OlderEra, source.Apply(Changes{Era: 1, Revision: 300, Complete: true}), "a host that still has the earlier era")
+}
+
+// Guards against a host that follows a watcher whose copy is of an earlier era.
+func TestRestoredStoreWatcherOfAnEarlierEra(t *testing.T) {
+	hosts := rankedHosts(3)
+	behind := HostState{Host: hosts[0], Watching: true, Era: 1}
+	ahead := HostState{Host: hosts[1], Watching: true, Era: 2}
+	require.Equal(t, hosts[1], ChooseRole(HostState{Host: hosts[2], Era: 2}, []HostState{behind, ahead}).Follow)
+	require.Equal(t, hosts[0], ChooseRole(HostState{Host: hosts[2], Era: 1}, []HostState{behind, ahead}).Follow)
+	require.Empty(t, ChooseRole(HostState{Host: hosts[2], Era: 2}, []HostState{behind}).Follow)
+}
+
+// Guards against answers that cannot be placed in the history of the store.
+func TestRestoredStoreOddEras(t *testing.T) {
+	e := NewEras()
+	era, err := e.Observe("")
+	require.NoError(t, err, "a store without eras")
+	require.Zero(t, era)
+	_, raised := e.Latest()
+	era, err = e.Observe("3")
+	require.NoError(t, err)
+	require.Equal(t, int64(3), era)
+	<-raised
+	for _, odd := range []string{"", "x", "-4", "3.5", "99999999999999999999", " 4"} {
+		_, err = e.Observe(odd)
+		require.ErrorIs(t, err, ErrEraMissing, odd)
+	}
+	_, err = e.Observe("2")
+	require.ErrorIs(t, err, ErrEraPassed)
+	latest, _ := e.Latest()
+	require.Equal(t, int64(3), latest)
+	require.Equal(t, int64(2), e.Last())
+	_, err = e.Observe("3")
+	require.NoError(t, err)
+}
+
 // Guards against followers that keep a removed item because the source has
 // already dropped its tombstone.
 func TestForgottenRemovals(t *testing.T) {
 	source, follower := NewReplica(), NewReplica()
 	source.Apply(Changes{Revision: 1, Complete: true, Items: []Item{item("kept", 1), item("lost", 1)}})
-	follower.Apply(source.Since(0))
+	follower.Apply(source.Since(Position{}))
 	revision := int64(1)
 	for i := range maxRemovals + 2 {
 		name := "lost"
@@ -92,7 +178,7 @@
 		revision++
 		source.Apply(Changes{Revision: revision, Items: []Item{{Name: name, Revision: revision, Deleted: true}}})
 	}
-	c := source.Since(follower.Revision())
+	c := source.Since(follower.Position())
 	require.True(t, c.Complete)
 	follower.Apply(c)
 	require.Equal(t, []string{"kept"}, names(follower))
@@ -238,3 +324,42 @@
 	require.Greater(t, calls[0], 5, "the first host retries often enough to notice the store's return soon")
 	t.Logf("%d calls for each kind of object within %s", total, outage)
 }
+
+// Guards against tables that are never taken because the entry that could not be read
+// keeps a revision of the era before.
+func TestRestoredStoreKeptItemTakesLaterChanges(t *testing.T) {
+	l := NewReplica()
+	l.Apply(Changes{Era: 1, Revision: 131, Complete: true, Items: []Item{item("main", 131)}})
+	require.Equal(t, Restored, l.Apply(Changes{Era: 2, Revision: 60, Complete: true, Keep: []string{"main"}}))
+	require.Contains(t, l.Items(), "main")
+	require.Equal(t, Changed, l.Apply(Changes{Era: 2, Revision: 61, Items: []Item{item("main", 61)}}))
+	require.EqualValues(t, 61, l.Items()["main"].Revision)
+	require.Len(t, l.Since(Position{Era: 2, Revision: 60}).Items, 1, "a follower takes it, too")
+}
+
+// Guards against a store whose answers are all ignored because one faulty answer named an
+// era far above its own.
+func TestRestoredStoreOneAnswerOfAFarEra(t *testing.T) {
+	e := NewEras()
+	_, err := e.Observe("3")
+	require.NoError(t, err)
+	_, raised := e.Latest()
+	_, err = e.Observe("9000000000000000000")
+	require.ErrorIs(t, err, ErrEraUnconfirmed)
+	select {
+	case <-raised:
+		t.Fatal("raised by one answer")
+	default:
+	}
+	for _, era := range []string{"3", "4"} {
+		_, err = e.Observe(era)
+		require.NoError(t, err)
+	}
+	// A host that was cut off while the store returned more than once.
+	_, err = e.Observe("7")
+	require.ErrorIs(t, err, ErrEraUnconfirmed)
+	_, err = e.Observe("7")
+	require.NoError(t, err)
+	latest, _ := e.Latest()
+	require.Equal(t, int64(7), latest)
+}
--- a/pkg/core/feed/role.go
+++ b/pkg/core/feed/role.go
@@ -50,6 +50,8 @@
 	Watching bool
 	// Age is the time since the copy was last known to be up to date.
 	Age time.Duration
+	// Era is the store's era of the copy.
+	Era int64
 }
 
 // Role says how this host keeps its copy up to date. If it neither watches nor
@@ -88,12 +90,12 @@
 // ChooseRole decides whether self watches the store or follows another host of its
 // group. The hosts are ranked by rendezvous hashing, those with a large capacity
 // first. The first watcher in this ranking whose copy is up to date is followed;
-// a host that watches already only gives way to one with a lower rank. If no copy
-// is up to date, the hosts take over one after another in the order of the ranks.
+// a host that watches already only gives way to one with a lower rank. A watcher whose
+// copy is of an earlier era than that of self is not followed. If no copy is up to date, the hosts take over one after another in the order of the ranks.
 func ChooseRole(self HostState, others []HostState) Role {
 	freshWatcher := map[string]bool{}
 	for _, c := range others {
-		freshWatcher[c.Host] = c.Watching && c.Age < StaleAfter
+		freshWatcher[c.Host] = c.Watching && c.Age < StaleAfter && c.Era >= self.Era
 	}
 	order := rankHosts(append(slices.Clone(others), self))
 	rank := slices.Index(order, self.Host)
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -80,6 +80,19 @@
 	r.down, r.outageEnd = false, now.Add(-sinceReturn)
 }
 
+// Restored records that the store has come back from an older copy. Servers that the
+// copy lacks are kept for as long as after an outage.
+func (r *Registry) Restored(now time.Time) { r.down, r.outageEnd = false, now }
+
+// Lapsed returns the servers that are in their grace period.
+func (r *Registry) Lapsed() map[string]bool {
+	out := make(map[string]bool, len(r.lapsed))
+	for id := range r.lapsed {
+		out[id] = true
+	}
+	return out
+}
+
 // Set takes the current list of servers in the store. Servers that are missing
 // from it are removed at once, with two exceptions: shortly after an outage, and
 // when a large part of a pool vanishes together, they are kept for a grace period
@@ -110,7 +123,10 @@
 		if listed[id] {
 			continue
 		}
-		if _, ok := r.lapsed[id]; ok {
+		if until, ok := r.lapsed[id]; ok {
+			if end := r.outageEnd.Add(reannounceGrace); end.After(until) {
+				r.lapsed[id] = end // the store went and returned once more
+			}
 			continue
 		}
 		massLoss := missing[s.Pool] >= massLossMinServers && float64(missing[s.Pool]) >= massLossFraction*float64(poolSizes[s.Pool])
--- a/pkg/core/registry/registry_test.go
+++ b/pkg/core/registry/registry_test.go
@@ -141,3 +141,20 @@
 	require.NotEqual(t, p, r.Version("p"), "the server changed its pool")
 	require.NotEqual(t, q, r.Version("q"))
 }
+
+// Guards against servers that are removed too soon because the store comes back a second
+// time while they have not yet published their entries again.
+func TestRestoredStoreTwiceKeepsLapsedServers(t *testing.T) {
+	now := start
+	r := New(now.Add(-time.Hour))
+	s := fleet.Server{ID: "a", Pool: "p", Address: "a:80"}
+	r.Set(now, []fleet.Server{s})
+	r.Restored(now)
+	r.Set(now, nil)
+	again := now.Add(1500 * time.Millisecond)
+	r.Restored(again)
+	r.Set(again, nil)
+	require.False(t, r.Expire(now.Add(reannounceGrace)))
+	require.False(t, r.Expire(again.Add(reannounceGrace-time.Millisecond)))
+	require.True(t, r.Expire(again.Add(reannounceGrace)))
+}
--- a/pkg/restcall/restcall.go
+++ b/pkg/restcall/restcall.go
@@ -37,6 +37,13 @@
 // out is a *[]byte, it receives the answer as it was sent.
 // sent is false if the request certainly was not sent, not even in part.
 func (c *JSONClient) Call(ctx context.Context, timeout time.Duration, method, path string, body []byte, out any) (sent bool, err error) {
+	_, sent, err = c.CallForHeader(ctx, timeout, method, path, body, out)
+	return sent, err
+}
+
+// CallForHeader is Call that also returns the header of the answer, also of one whose
+// status is an error, and nil if there was no answer.
+func (c *JSONClient) CallForHeader(ctx context.Context, timeout time.Duration, method, path string, body []byte, out any) (header http.Header, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -45,7 +52,7 @@
 	})
 	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
 	if err != nil {
-		return false, errors.Trace(err)
+		return nil, false, errors.Trace(err)
 	}
 	if c.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.Token)
@@ -55,13 +62,13 @@
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return connected.Load(), errors.Trace(err)
+		return nil, connected.Load(), errors.Trace(err)
 	}
 	defer func() { _ = resp.Body.Close() }() // an error no longer changes the outcome of the call
 	if err := c.StatusError(resp); err != nil {
-		return true, err
+		return resp.Header, true, err
 	}
-	return true, c.decode(resp.Body, out)
+	return resp.Header, true, c.decode(resp.Body, out)
 }
 
 func (c *JSONClient) decode(body io.Reader, out any) error {
--- a/pkg/steer/apply.go
+++ b/pkg/steer/apply.go
@@ -29,18 +29,22 @@
 	return true
 }
 
-// applyServers updates the registry with the backend servers that the store
-// lists.
-func (h *Host) applyServers(list []fleet.Server) {
-	knownServers, lapsed := h.setServers(list)
+// applyServers updates the registry with the backend servers in force. restored is set
+// for the first list since the store came back from an older copy.
+func (h *Host) applyServers(list []fleet.Server, restored bool) {
+	knownServers, lapsed := h.setServers(list, restored)
 	h.log.serversListed(len(list), knownServers, lapsed)
 	h.updatePools()
 }
 
-func (h *Host) setServers(list []fleet.Server) (known, lapsed int) {
+func (h *Host) setServers(list []fleet.Server, restored bool) (known, lapsed int) {
 	h.registryMu.Lock()
 	defer h.registryMu.Unlock()
-	h.registry.Set(time.Now(), list)
+	now := time.Now()
+	if restored {
+		h.registry.Restored(now)
+	}
+	h.registry.Set(now, list)
 	return h.registry.Counts()
 }
 
@@ -72,6 +76,9 @@
 		h.log.serversExpired()
 		h.updatePools()
 	}
+	if h.feeds.expireHolds(now) {
+		h.applyHolds()
+	}
 }
 
 // updatePools creates the pools of the current tables and updates the servers of
@@ -136,4 +143,12 @@
 // list the domain.
 func (h *Host) regionOf(domain string) string { return h.cfg().Regions[domain] }
 
+// tableVersion returns the version of the tables in force, or 0.
+func (h *Host) tableVersion() int64 {
+	if t := h.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
 func (h *Host) isEvacuated(domain string) bool { return (*h.evacuated.Load())[domain] }
--- a/pkg/steer/beacons.go
+++ b/pkg/steer/beacons.go
@@ -99,7 +99,7 @@
 			loadedDispatchers[dispatchers[p.name]] = true
 		}
 	})
-	h.feeds.describe(now, &b)
+	h.feeds.describe(now, h.tableVersion(), &b)
 	h.sendAll(append(targets, h.peers.addressesOutsideGroup(loadedDispatchers)...), &datagram{Beacon: &b})
 }
 
@@ -175,10 +175,7 @@
 		}
 	}
 	if d.Digest != nil && h.peers.applyDigest(time.Now(), d.Digest) {
-		select {
-		case h.hostsReadRequested <- struct{}{}:
-		default: // already requested
-		}
+		h.requestHosts()
 	}
 	if d.Beacon != nil {
 		processKnown, err := h.peers.recordBeacon(time.Now(), d.From, d.StartedMS, d.Beacon)
--- a/pkg/steer/copies.go
+++ b/pkg/steer/copies.go
@@ -19,6 +19,9 @@
 	notTakenHistoryGone = "history-gone"      // the store no longer has the changes; a list follows
 	notTakenUnreadable  = "unreadable"        // the newest tables could not be decoded
 	notTakenVersion     = "version-not-above" // the tables have a lower version than those in force
+	notTakenEraMissing  = "era-missing"       // the answer of the store has no readable era
+	notTakenEraUnsure   = "era-unconfirmed"   // the answer of the store is the first one of a far era
+	notTakenEraPassed   = "older-era"         // the answer of the store belongs to an earlier era
 )
 
 // sourceStore names the store as the source of a copy; other sources are the names of
@@ -29,7 +32,9 @@
 type notTaken struct {
 	Source string `json:"source"`
 	Reason string `json:"reason"`
-	// Revision is the revision that the news would have brought, 0 if it is unknown.
+	// Era and Revision are the position that the news would have brought; Revision is 0
+	// if it is unknown.
+	Era      int64 `json:"era,omitempty"`
 	Revision int64 `json:"revision,omitempty"`
 	// Detail says more about the reason.
 	Detail string `json:"detail,omitempty"`
@@ -46,18 +51,24 @@
 func (n *notTaken) String() string {
 	text := fmt.Sprintf("%s from %s, %d times in %d ms", n.Reason, n.Source, n.Count, n.FirstMS)
 	if n.Revision > 0 {
-		text += fmt.Sprintf(", revision %d", n.Revision)
+		text += fmt.Sprintf(", era %d revision %d", n.Era, n.Revision)
 	}
 	if n.Detail != "" {
-		text += ": " + n.Detail
+		text += ": " + n.Detail[:min(len(n.Detail), maxLineDetailBytes)]
 	}
 	return text
 }
 
+// maxLineDetailBytes bounds the detail in the line of a request. The line about the news
+// itself and the dump have all of it.
+const maxLineDetailBytes = 80
+
 // copyStatus says how old this host's copy of one kind of objects is, where it came
 // from, and why it is not newer.
 type copyStatus struct {
-	// Revision is the store's revision that the copy has reached.
+	// Era and Revision are the position in the store's history that the copy has
+	// reached.
+	Era      int64 `json:"era"`
 	Revision int64 `json:"revision"`
 	// AgeMS is the time since the copy was last known to be up to date, in
 	// milliseconds.
@@ -118,7 +129,7 @@
 func (h *Host) copyStatus(now time.Time, kind feed.Kind) copyStatus {
 	h.feeds.mu.Lock()
 	replica := h.feeds.replicas[kind]
-	s := copyStatus{Revision: replica.Revision(), AgeMS: max(now.Sub(replica.Confirmed()), 0).Milliseconds()}
+	s := copyStatus{Era: replica.Position().Era, Revision: replica.Position().Revision, AgeMS: max(now.Sub(replica.Confirmed()), 0).Milliseconds()}
 	h.feeds.mu.Unlock()
 	h.copies.status(now, kind, &s)
 	return s
@@ -147,16 +158,16 @@
 	n.Detail = clip(n.Detail)
 	h.metrics.notTaken.WithLabelValues(kind.String(), n.Reason).Inc()
 	if h.copies.refused(time.Now(), kind, n) {
-		h.log.newsRefused(kind, n, h.feeds.revision(kind))
+		h.log.newsRefused(kind, n, h.feeds.position(kind))
 	}
 }
 
-func (l *eventLog) newsRefused(kind feed.Kind, n notTaken, ownRevision int64) {
+func (l *eventLog) newsRefused(kind feed.Kind, n notTaken, own feed.Position) {
 	if !l.allow() {
 		return
 	}
-	l.Warn().Str("kind", kind.String()).Str("source", n.Source).Str("reason", n.Reason).Int64("revision", n.Revision).
-		Int64("own_revision", ownRevision).Str("detail", n.Detail).Msg("news of the store not taken")
+	l.Warn().Str("kind", kind.String()).Str("source", n.Source).Str("reason", n.Reason).Int64("era", n.Era).Int64("revision", n.Revision).
+		Int64("own_era", own.Era).Int64("own_revision", own.Revision).Str("detail", n.Detail).Msg("news of the store not taken")
 }
 
 func (l *eventLog) newsTaken(kind feed.Kind, source string, before *notTaken) {
@@ -169,14 +180,15 @@
 
 // copyCollector serves the ages and revisions of the copies as metrics.
 type copyCollector struct {
-	host          *Host
-	age, revision *prometheus.Desc
+	host               *Host
+	age, era, revision *prometheus.Desc
 }
 
 func newCopyCollector(h *Host) *copyCollector {
 	return &copyCollector{
 		host:     h,
 		age:      prometheus.NewDesc("tamarackswitch_steer_copy_age_seconds", "Time since this host's copy of the store was last known to be up to date, by kind of objects.", []string{"kind"}, nil),
+		era:      prometheus.NewDesc("tamarackswitch_steer_copy_era", "Era of the store to which this host's copy belongs, by kind of objects.", []string{"kind"}, nil),
 		revision: prometheus.NewDesc("tamarackswitch_steer_copy_revision", "Revision of the store that this host's copy has reached, by kind of objects.", []string{"kind"}, nil),
 	}
 }
@@ -184,6 +196,7 @@
 // Describe implements prometheus.Collector.
 func (c *copyCollector) Describe(out chan<- *prometheus.Desc) {
 	out <- c.age
+	out <- c.era
 	out <- c.revision
 }
 
@@ -193,6 +206,7 @@
 	for kind := range feed.NumKinds {
 		s := c.host.copyStatus(now, kind)
 		out <- prometheus.MustNewConstMetric(c.age, prometheus.GaugeValue, float64(s.AgeMS)/1000, kind.String())
+		out <- prometheus.MustNewConstMetric(c.era, prometheus.GaugeValue, float64(s.Era), kind.String())
 		out <- prometheus.MustNewConstMetric(c.revision, prometheus.GaugeValue, float64(s.Revision), kind.String())
 	}
 }
--- a/pkg/steer/copies_test.go
+++ b/pkg/steer/copies_test.go
@@ -49,7 +49,7 @@
 	source := newSource()
 	putTable(source, 3)
 	putServer(source, newTestServer(t, "s1", answerOK), "a-1")
-	h := startLoggingHost(t, source, "h1", "a-1", "info", &out)
+	h := startHostWith(t, source, "h1", "a-1", &out, func(s *Settings) { s.Log.Level = "info" })
 	ready(t, h, 1)
 	refuse := func() map[string]any {
 		before := len(out.lines(t, "request"))
--- a/pkg/steer/helpers_test.go
+++ b/pkg/steer/helpers_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,6 +32,8 @@
 // memorySource is an in-memory Source.
 type memorySource struct {
 	mu       sync.Mutex
+	eras     *feed.Eras
+	era      int64
 	revision int64
 	replicas [feed.NumKinds]*feed.Replica
 	hosts    map[string]fleet.EntryHost
@@ -40,7 +45,7 @@
 }
 
 func newSource() *memorySource {
-	s := &memorySource{revision: 1, hosts: map[string]fleet.EntryHost{}, changed: make(chan struct{})}
+	s := &memorySource{eras: feed.NewEras(), revision: 1, hosts: map[string]fleet.EntryHost{}, changed: make(chan struct{})}
 	for k := range s.replicas {
 		s.replicas[k] = feed.NewReplica()
 		s.replicas[k].Apply(feed.Changes{Revision: 1, Complete: true})
@@ -53,7 +58,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	item.Revision = s.revision
-	s.replicas[kind].Apply(feed.Changes{Revision: s.revision, Items: []feed.Item{item}})
+	s.replicas[kind].Apply(feed.Changes{Era: s.era, Revision: s.revision, Items: []feed.Item{item}})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -64,7 +69,11 @@
 	s.down = down
 }
 
-func (s *memorySource) read(kind feed.Kind, after int64) (feed.Changes, chan struct{}, error) {
+func (s *memorySource) Era() (int64, <-chan struct{}) { return s.eras.Latest() }
+
+func (s *memorySource) LastEra() int64 { return s.eras.Last() }
+
+func (s *memorySource) read(kind feed.Kind, after feed.Position) (feed.Changes, chan struct{}, error) {
 	s.calls.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -73,15 +82,44 @@
 	}
 	c := s.replicas[kind].Since(after)
 	c.Revision = s.revision
+	if after.Known() && after.Era != c.Era {
+		return feed.Changes{}, nil, ErrEraChanged
+	}
 	return c, s.changed, nil
 }
 
+// takeCopy returns a function with which the store comes back from a copy of its present
+// state.
+func (s *memorySource) takeCopy() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision := s.revision
+	var items [feed.NumKinds][]feed.Item
+	for kind, replica := range s.replicas {
+		items[kind] = slices.Collect(maps.Values(replica.Items()))
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.revision = revision
+		s.era++
+		for kind := range s.replicas {
+			s.replicas[kind] = feed.NewReplica()
+			s.replicas[kind].Apply(feed.Changes{Era: s.era, Revision: revision, Complete: true, Items: items[kind]})
+		}
+		s.hosts = map[string]fleet.EntryHost{}
+		_, _ = s.eras.Observe(strconv.FormatInt(s.era, 10)) // it increases
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
 func (s *memorySource) List(_ context.Context, kind feed.Kind) (feed.Changes, error) {
-	c, _, err := s.read(kind, 0)
+	c, _, err := s.read(kind, feed.Position{})
 	return c, err
 }
 
-func (s *memorySource) Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Changes, error) {
+func (s *memorySource) Watch(ctx context.Context, kind feed.Kind, after feed.Position, wait time.Duration) (feed.Changes, error) {
 	deadline := time.After(wait)
 	for {
 		c, changed, err := s.read(kind, after)
@@ -98,11 +136,12 @@
 	}
 }
 
-func (s *memorySource) Register(_ context.Context, h fleet.EntryHost) error {
+func (s *memorySource) Register(_ context.Context, h fleet.EntryHost) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts[h.Name] = h
-	return nil
+	era, _ := s.eras.Latest()
+	return era, nil
 }
 
 func (s *memorySource) Hosts(context.Context) ([]fleet.EntryHost, []feed.Unreadable, error) {
@@ -193,11 +232,11 @@
 
 func startHost(t *testing.T, source Source, name, domain string) *Host {
 	t.Helper()
-	return startLoggingHost(t, source, name, domain, "warn", io.Discard)
+	return startHostWith(t, source, name, domain, io.Discard, func(*Settings) {})
 }
 
-// startLoggingHost is startHost with a log level and a writer for the log.
-func startLoggingHost(t *testing.T, source Source, name, domain, level string, out io.Writer) *Host {
+// startHostWith is startHost with a writer for the log and changes to the settings.
+func startHostWith(t *testing.T, source Source, name, domain string, out io.Writer, change func(*Settings)) *Host {
 	t.Helper()
 	cfg := &Settings{
 		Name: name, Domain: domain, Regions: map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"},
@@ -211,9 +250,10 @@
 			Grace: units.Duration(6 * time.Second), LookupLife: units.Duration(5 * time.Second), RetryRatio: 0.2, RetryExtra: 100,
 			RetryWindow: units.Duration(10 * time.Second),
 		},
-		Log: Log{Level: level, LinesPerSecond: 100},
+		Log: Log{Level: "warn", LinesPerSecond: 100},
 	}
-	h := New(cfg, testNames, source, &log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: out}})
+	change(cfg)
+	h := New(cfg, testNames, source, &log.Logger{Level: log.ParseLevel(cfg.Log.Level), Writer: log.IOWriter{Writer: out}})
 	require.NoError(t, h.Start())
 	t.Cleanup(func() { _ = h.Stop() })
 	return h
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -77,8 +77,9 @@
 	poolsMu sync.RWMutex // guards pools
 	pools   map[string]*pool
 
-	feeds  *storeFeeds
-	copies copyHistory
+	feeds    *storeFeeds
+	copies   copyHistory
+	copiesMu sync.Mutex // held while a copy changes and is put in force
 	// tablesRefused is set while the newest tables have a lower version than those in
 	// force.
 	tablesRefused atomic.Bool
@@ -93,7 +94,9 @@
 	// hostsReadRequested asks readHosts to read the published hosts again soon.
 	// hostsRead is set after the first read, also if it failed.
 	hostsReadRequested chan struct{}
-	hostsRead          atomic.Bool
+	// eraReached tells publish that a copy has reached a later era of the store.
+	eraReached chan struct{}
+	hostsRead  atomic.Bool
 
 	// leaving is set once a shutdown has begun.
 	leaving atomic.Bool
@@ -115,7 +118,7 @@
 			CallerAddress: cmp.Or(cfg.Advertise.Caller, cfg.Listen.Caller), PeerAddress: cmp.Or(cfg.Advertise.Peer, cfg.Listen.Peer),
 			ControlAddress: cmp.Or(cfg.Advertise.Control, cfg.Listen.Control),
 		},
-		hostsReadRequested: make(chan struct{}, 1), guard: overload.New(cfg.Limits.Lateness.Std()),
+		hostsReadRequested: make(chan struct{}, 1), eraReached: make(chan struct{}, 1), guard: overload.New(cfg.Limits.Lateness.Std()),
 		feeds: newStoreFeeds(time.Now()), registry: registry.New(time.Now()), pools: map[string]*pool{},
 	}
 	h.shares = intake.Divide(cfg.Limits.machine())
--- a/pkg/steer/logs.go
+++ b/pkg/steer/logs.go
@@ -178,6 +178,13 @@
 	l.Info().Str("kind", kind.String()).Msg("the store no longer has the changes after the watched revision, listing all objects")
 }
 
+// restored logs that the copy of a kind has moved to a later era of the store, and how
+// much is held of what it knew before.
+func (l *eventLog) restored(kind feed.Kind, source string, before, after feed.Position, held int) {
+	l.Warn().Str("kind", kind.String()).Str("source", source).Int64("era_before", before.Era).Int64("revision_before", before.Revision).
+		Int64("era", after.Era).Int64("revision", after.Revision).Int("held", held).Msg("the store has come back from an older copy")
+}
+
 func (l *eventLog) tableApplied(old, t *fleet.Table) {
 	e := l.Info().Int64("version", t.Version).Int("routes", len(t.Routes)).Int("pools", len(t.Pools))
 	if old != nil {
@@ -242,7 +249,7 @@
 
 // withCopy adds the status of this host's copy of one kind of objects.
 func withCopy(e *log.Entry, kind string, s copyStatus) *log.Entry {
-	e = e.Int64(kind+"_revision", s.Revision).Int64(kind+"_age_ms", s.AgeMS).Str(kind+"_source", s.Source)
+	e = e.Int64(kind+"_era", s.Era).Int64(kind+"_revision", s.Revision).Int64(kind+"_age_ms", s.AgeMS).Str(kind+"_source", s.Source)
 	if s.NotTaken != nil {
 		e = e.Str(kind+"_not_taken", s.NotTaken.String())
 	}
--- a/pkg/steer/messages.go
+++ b/pkg/steer/messages.go
@@ -62,11 +62,29 @@
 	// Loads counts, by server, the requests in progress that the pool's dispatcher
 	// did not grant.
 	Loads map[string]int `cbor:"4,keyasint,omitempty"`
-	// Watching, AgeMS and Versions describe the sender's copy of the store: whether
-	// it watches the store itself, the copy's age, and its revision of each kind.
+	// Watching, AgeMS and ChangeRevisions describe the sender's copy of the store: whether
+	// it watches the store itself, the copy's age, and the revision of the last change of
+	// each kind.
 	Watching        bool                 `cbor:"5,keyasint,omitempty"`
 	AgeMS           uint32               `cbor:"6,keyasint"`
 	ChangeRevisions [feed.NumKinds]int64 `cbor:"7,keyasint"`
+	// Eras are the store's eras of the ChangeRevisions, missing if all are 0.
+	Eras []int64 `cbor:"8,keyasint,omitempty"`
+	// Held counts what the sender knows from before the store came back from an older
+	// copy: servers, failure domains, and tables that the copy lacks.
+	Held int `cbor:"9,keyasint,omitempty"`
+}
+
+// changePositions returns the positions at which objects of each kind last changed in
+// the sender's copy.
+func (b *beacon) changePositions() (out [feed.NumKinds]feed.Position) {
+	for kind, revision := range b.ChangeRevisions {
+		out[kind].Revision = revision
+		if kind < len(b.Eras) {
+			out[kind].Era = b.Eras[kind]
+		}
+	}
+	return out
 }
 
 // slotRequest asks the dispatcher of a pool for a slot at a server.
--- a/pkg/steer/messages_check.go
+++ b/pkg/steer/messages_check.go
@@ -61,6 +61,14 @@
 			return err
 		}
 	}
+	for _, p := range b.changePositions() {
+		if p.Era < 0 || p.Revision < 0 {
+			return errors.Errorf("beacon with the position %s", p)
+		}
+	}
+	if b.Held < 0 || b.Held > maxCount {
+		return errors.Errorf("beacon with %d servers held", b.Held)
+	}
 	return checkCounts(b.Loads)
 }
 
@@ -119,9 +127,16 @@
 	}
 	a.Hosts = slices.DeleteFunc(a.Hosts, func(h fleet.EntryHost) bool { return h.Validate() != nil })
 	for _, c := range a.Changes {
-		if c != nil {
-			takeOutInvalid(c)
+		if c == nil {
+			continue
+		}
+		if c.Era < 0 || c.Revision < 0 {
+			return errors.Errorf("changes up to the position %s", c.Position())
 		}
+		takeOutInvalid(c)
+	}
+	if a.Table != nil && a.Table.Validate() != nil {
+		a.Table = nil
 	}
 	return nil
 }
--- a/pkg/steer/names.go
+++ b/pkg/steer/names.go
@@ -39,16 +39,28 @@
 // changes after the watched revision, and that a new list is needed.
 const ErrHistoryGone = errors.ConstError("the store no longer has the changes after the watched revision")
 
-// Source reads the platform's store and publishes this host. An error other than
-// ErrHistoryGone means that the store did not answer.
+// ErrEraChanged means that the store has come back from an older copy, and that a new
+// list is needed.
+const ErrEraChanged = errors.ConstError("the store has come back from an older copy")
+
+// Source reads the platform's store and publishes this host. Errors of List and Watch
+// other than ErrHistoryGone, ErrEraChanged and those of feed.Eras mean that the store
+// did not answer.
 type Source interface {
+	// Era returns the highest era that the store has named in any answer, and a channel
+	// that is closed when it names a higher one.
+	Era() (int64, <-chan struct{})
+	// LastEra returns the era that the last answer of the store has named.
+	LastEra() int64
 	// List returns all objects of a kind.
 	List(ctx context.Context, kind feed.Kind) (feed.Changes, error)
-	// Watch returns the changes after a revision. It waits up to wait for the first
-	// one, and returns ErrHistoryGone if the store no longer has all of them.
-	Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Changes, error)
-	// Register publishes this host in the store.
-	Register(ctx context.Context, h fleet.EntryHost) error
+	// Watch returns the changes after a position. It waits up to wait for the first
+	// one. It returns ErrHistoryGone if the store no longer has all of them, and
+	// ErrEraChanged if the position belongs to an earlier era.
+	Watch(ctx context.Context, kind feed.Kind, after feed.Position, wait time.Duration) (feed.Changes, error)
+	// Register publishes this host in the store and returns the era of the store that
+	// has the entry.
+	Register(ctx context.Context, h fleet.EntryHost) (era int64, err error)
 	// Hosts returns the published entry hosts, and the entries among them that could
 	// not be read. The list may be seconds old.
 	Hosts(ctx context.Context) ([]fleet.EntryHost, []feed.Unreadable, error)
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -58,9 +58,23 @@
 	watching bool
 	// copyAge is the age of the host's copy of the store at that time.
 	copyAge time.Duration
-	// changeRevisions are the revisions at which objects of each kind last changed
+	// changePositions are the positions at which objects of each kind last changed
 	// in that copy.
-	changeRevisions [feed.NumKinds]int64
+	changePositions [feed.NumKinds]feed.Position
+	// held is set if the host knows something from before the store came back from an
+	// older copy.
+	held bool
+}
+
+// era returns the earliest era of the host's copies.
+func (p *peerState) era() int64 { return earliestEra(p.changePositions) }
+
+func earliestEra(positions [feed.NumKinds]feed.Position) int64 {
+	era := positions[0].Era
+	for _, at := range positions {
+		era = min(era, at.Era)
+	}
+	return era
 }
 
 // supersededBy reports whether a process of the host with the start time startedMS,
@@ -268,7 +282,7 @@
 		return !s.supersededBy(now, startedMS), nil
 	}
 	s.heardAt, s.viaDigest, s.leaving, s.ready = now, false, b.Leaving, b.Ready
-	s.watching, s.copyAge, s.changeRevisions = b.Watching, time.Duration(b.AgeMS)*time.Millisecond, b.ChangeRevisions
+	s.watching, s.copyAge, s.changePositions, s.held = b.Watching, time.Duration(b.AgeMS)*time.Millisecond, b.changePositions(), b.Held > 0
 	return true, nil
 }
 
@@ -294,7 +308,7 @@
 		case !p.group[name]:
 			continue
 		case s.alive(now) && !s.viaDigest && !s.leaving:
-			state.Watching, state.Age = s.watching, s.copyAge+now.Sub(s.heardAt)
+			state.Watching, state.Age, state.Era = s.watching, s.copyAge+now.Sub(s.heardAt), s.era()
 		case !starting || !s.heardAt.IsZero():
 			continue
 		}
@@ -304,29 +318,51 @@
 }
 
 // furthestAhead returns the host of the group whose copy of the store is the
-// furthest ahead of this host's revisions, or "" if none is ahead. If this host has
-// no tables yet, hosts of other regions are considered too. Hosts that are shutting
-// down are considered because they still serve their copies.
-func (p *peers) furthestAhead(now time.Time, ownRevisions [feed.NumKinds]int64) string {
+// furthest ahead of this host's positions, or "" if none is ahead. A later era goes
+// before any lead in revisions. If this host has no tables yet, hosts of other regions
+// are considered too. Hosts that are shutting down are considered because they still
+// serve their copies.
+func (p *peers) furthestAhead(now time.Time, own [feed.NumKinds]feed.Position) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	best, bestLead := "", int64(0)
+	best, bestLead := "", feed.Position{}
 	for name, s := range p.hosts {
-		otherRegion := s.host.Region != p.self.Region && ownRevisions[feed.Tables] == 0
+		otherRegion := s.host.Region != p.self.Region && !own[feed.Tables].Known()
 		if !p.group[name] && !otherRegion || !s.alive(now) || s.viaDigest {
 			continue
 		}
-		lead := int64(0)
-		for k, revision := range s.changeRevisions {
-			lead += max(revision-ownRevisions[k], 0)
+		lead := feed.Position{} // sums over the kinds
+		for k, at := range s.changePositions {
+			switch {
+			case !own[k].Before(at):
+			case at.Era > own[k].Era:
+				lead.Era += at.Era - own[k].Era
+				lead.Revision += at.Revision
+			default:
+				lead.Revision += at.Revision - own[k].Revision
+			}
 		}
-		if lead > bestLead || lead == bestLead && lead > 0 && name < best {
+		if bestLead.Before(lead) || lead == bestLead && lead.Known() && name < best {
 			best, bestLead = name, lead
 		}
 	}
 	return best
 }
 
+// holding returns a live host of the group that knows something from before the store
+// came back from an older copy and whose copies are of the era or a later one, or "".
+func (p *peers) holding(now time.Time, era int64) string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	first := ""
+	for name, s := range p.hosts {
+		if p.group[name] && s.held && s.alive(now) && !s.viaDigest && s.era() >= era && (first == "" || name < first) {
+			first = name
+		}
+	}
+	return first
+}
+
 // get returns the state of a host, and whether the host is known.
 func (p *peers) get(name string) (peerState, bool) {
 	p.mu.RLock()
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +18,7 @@
 	"github.com/juju/errors"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
+	"github.com/tamarackswitch/tamarackswitch/pkg/core/restore"
 	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
@@ -57,12 +60,20 @@
 	cancelWatches context.CancelFunc
 	// fetching is set while changes are transferred from another host.
 	fetching bool
-	client   *http.Client
-	started  time.Time
+	// holds keeps what was known before the store came back from an older copy, and
+	// holdsEra is the era in which another host last said what it holds.
+	holds    *restore.Holds
+	holdsEra int64
+	// awaited is what another host holds in awaitedEra, which this host's copy of the
+	// servers has not reached. It is adopted together with the list.
+	awaited    *restore.Memory
+	awaitedEra int64
+	client     *http.Client
+	started    time.Time
 }
 
 func newStoreFeeds(now time.Time) *storeFeeds {
-	f := &storeFeeds{started: now, client: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second})}}
+	f := &storeFeeds{started: now, holds: restore.New(), client: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second})}}
 	for k := range f.replicas {
 		f.replicas[k] = feed.NewReplica()
 		// The replicas start at the age from which on they count as stale, so that
@@ -90,14 +101,26 @@
 	return age
 }
 
-// describe sets the fields of a beacon that describe this host's copy of the store.
-func (f *storeFeeds) describe(now time.Time, b *beacon) {
+// describe sets the fields of a beacon that describe this host's copy of the store, and
+// what it knows that the copy lacks. tableVersion is the version of the tables in force.
+func (f *storeFeeds) describe(now time.Time, tableVersion int64, b *beacon) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b.Watching = f.role.Watch
 	b.AgeMS = uint32(min(f.ageLocked(now).Milliseconds(), maxAgeMS))
 	for k, replica := range f.replicas {
-		b.ChangeRevisions[k] = replica.LastChangeRevision()
+		at := replica.LastChange()
+		b.ChangeRevisions[k] = at.Revision
+		if at.Era > 0 && b.Eras == nil {
+			b.Eras = make([]int64, feed.NumKinds)
+		}
+		if b.Eras != nil {
+			b.Eras[k] = at.Era
+		}
+	}
+	b.Held = f.holds.Count()
+	if t := f.tableLocked(); t != nil && t.Version < tableVersion {
+		b.Held++
 	}
 }
 
@@ -113,9 +136,14 @@
 	if !h.hostsRead.Load() && len(hostStates) == 0 && uptime < firstHostsReadTimeout {
 		return
 	}
+	// An era that the store names counts before the copy reaches it, so that this host
+	// does not wait for a watcher that stays in an earlier one.
+	named := h.source.LastEra()
 	f.mu.Lock()
 	oldRole := f.role
-	f.role = feed.ChooseRole(feed.HostState{Host: h.self.Name, Capacity: h.self.Capacity, Watching: oldRole.Watch, Age: f.ageLocked(now)}, hostStates)
+	era := max(named, earliestEra(f.positionsLocked()))
+	self := feed.HostState{Host: h.self.Name, Capacity: h.self.Capacity, Watching: oldRole.Watch, Age: f.ageLocked(now), Era: era}
+	f.role = feed.ChooseRole(self, hostStates)
 	role, age := f.role, f.ageLocked(now)
 	switch {
 	case role.Watch && !oldRole.Watch:
@@ -134,38 +162,49 @@
 	from := role.Follow
 	if from == "" {
 		// There is no host to follow, so a peer that is ahead has the best copy.
-		from = h.peers.furthestAhead(now, f.revisions())
+		from = h.peers.furthestAhead(now, f.positions())
 	}
 	if from != "" && h.fetchIfBehind(now, from) && role.Follow == "" {
 		h.log.fetchingFromPeer(from)
 	}
+	h.fetchHolds(now)
 }
 
-// errPanicked means that the handling of an answer of the store or of a peer panicked.
-const errPanicked = errors.ConstError("the answer could not be handled")
+const (
+	// errPanicked means that the handling of an answer of the store or of a peer panicked.
+	errPanicked = errors.ConstError("the answer could not be handled")
+	// errOlderAnswer means that the store answered with an older state than this host has.
+	errOlderAnswer = errors.ConstError("the answer is older than the copy")
+)
 
 // watchStore watches one kind of objects at the store until ctx ends. After an
-// error, or if the store no longer has the history, it lists all objects again to
-// get the changes that it missed. Failed calls are repeated with exponential
-// backoff and jitter.
+// error, or if the store no longer has the history or is in another era, it lists all
+// objects again to get the changes that it missed. Failed calls, and those whose answer
+// is older than this host's copy, are repeated with exponential backoff and jitter.
 func (h *Host) watchStore(ctx context.Context, kind feed.Kind) {
 	defer h.forgetUnreadable(kind.String())
 	backoff := h.feeds.currentRole().InitialBackoff(false)
-	listNext := h.feeds.revision(kind) == 0
+	listNext := !h.feeds.position(kind).Known()
 	for ctx.Err() == nil {
 		completeAt := time.Now()
 		var changes feed.Changes
 		var err error
 		readAndApply := func() {
+			from := h.feeds.position(kind)
 			if listNext {
 				changes, err = h.source.List(ctx, kind)
 			} else {
-				changes, err = h.source.Watch(ctx, kind, h.feeds.revision(kind), feed.WatchWait)
+				changes, err = h.source.Watch(ctx, kind, from, feed.WatchWait)
 				completeAt = time.Now() // the store had no newer changes when it answered
 			}
-			if err == nil && ctx.Err() == nil {
-				h.recordUnreadable(kind.String(), changes.Complete, changes.Items, changes.Unreadable)
-				h.applyChanges(kind, sourceStore, changes, completeAt)
+			if err != nil || ctx.Err() != nil {
+				return
+			}
+			h.recordUnreadable(kind.String(), changes.Complete, changes.Items, changes.Unreadable)
+			outcome := h.applyChanges(kind, sourceStore, changes, completeAt)
+			// If the copy has moved on during the call, changes came from a peer.
+			if !outcome.Taken() && h.feeds.position(kind) == from {
+				err = errors.Annotatef(errOlderAnswer, "%s: the store is at %s, the copy at %s", outcome, changes.Position(), from)
 			}
 		}
 		if !h.protect("store", readAndApply) {
@@ -179,6 +218,9 @@
 			h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenHistoryGone})
 			listNext = true
 			continue
+		case errors.Is(err, ErrEraChanged) && !listNext:
+			listNext = true
+			continue
 		case err != nil:
 			h.storeFailed(kind, err)
 			listNext = true
@@ -200,81 +242,221 @@
 // force. If this host watches the store, it sends beacons at once, so that its
 // followers fetch the changes. source names who sent the changes, and completeAt is
 // the last time at which the store is known to have had no newer ones.
-func (h *Host) applyChanges(kind feed.Kind, source string, c feed.Changes, completeAt time.Time) {
+func (h *Host) applyChanges(kind feed.Kind, source string, c feed.Changes, completeAt time.Time) feed.Outcome {
 	for i := range c.Items {
 		if s := c.Items[i].Server; s != nil && s.ColdFor > 0 {
 			s.ColdUntil = time.Now().Add(s.ColdFor)
 		}
 	}
-	items, outcome, watching := h.feeds.apply(kind, c, completeAt)
-	if outcome == feed.Changed {
-		h.applyItems(kind, source, items)
+	// Kept over both steps, so that an older copy is not put in force after a newer one.
+	h.copiesMu.Lock()
+	defer h.copiesMu.Unlock()
+	before := h.feeds.position(kind)
+	outcome, watching := h.feeds.apply(kind, c, completeAt, h.lapsedServers)
+	if outcome == feed.Restored {
+		h.log.restored(kind, source, before, c.Position(), h.feeds.held())
+		select {
+		case h.eraReached <- struct{}{}:
+		default: // publish was told already
+		}
+	}
+	if outcome == feed.Changed || outcome == feed.Restored {
+		h.applyCopy(kind, source, outcome == feed.Restored)
 	}
 	switch {
 	case !outcome.Taken():
-		h.newsRefused(kind, notTaken{Source: source, Reason: outcome.String(), Revision: c.Revision})
+		h.newsRefused(kind, notTaken{Source: source, Reason: outcome.String(), Era: c.Era, Revision: c.Revision})
 	case len(c.Keep) > 0:
-		h.newsRefused(kind, notTaken{Source: source, Reason: notTakenUnreadable, Revision: c.Revision})
+		h.newsRefused(kind, notTaken{Source: source, Reason: notTakenUnreadable, Era: c.Era, Revision: c.Revision})
 	default:
 		h.newsTaken(kind, source)
 	}
-	if outcome != feed.Changed {
-		return
-	}
-	if watching {
+	if watching && (outcome == feed.Changed || outcome == feed.Restored) {
 		h.sendBeaconsNow()
 	}
+	return outcome
 }
 
-// apply applies changes to the replica of a kind. If an item changed, it returns
-// all items. watching reports whether this host watches the store.
-func (f *storeFeeds) apply(kind feed.Kind, c feed.Changes, completeAt time.Time) (items []feed.Item, outcome feed.Outcome, watching bool) {
+// lapsedServers returns the servers that the store does not list and that are kept
+// until they publish their entries again.
+func (h *Host) lapsedServers() map[string]bool {
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
+	return h.registry.Lapsed()
+}
+
+// apply applies changes to the replica of a kind. If they are the first list since the
+// store came back from an older copy, what was known before is held; lapsed lists the
+// servers without an entry that had not left. watching reports whether this host watches
+// the store.
+func (f *storeFeeds) apply(kind feed.Kind, c feed.Changes, completeAt time.Time, lapsed func() map[string]bool) (outcome feed.Outcome, watching bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	replica := f.replicas[kind]
+	now, replica := time.Now(), f.replicas[kind]
+	var servers, left []fleet.Server
+	var domains []string
+	if c.Era > replica.Position().Era {
+		servers, domains = f.serversLocked(now), f.evacuatedLocked(now)
+		for _, item := range c.Items {
+			if old := replica.Items()[item.Name].Server; old != nil && item.Server != nil {
+				item.Server.ColdUntil = restore.ColdUntil(*old, *item.Server)
+			}
+		}
+		lapsedNow := lapsed()
+		for _, item := range replica.Removed() {
+			if item.Server != nil && !lapsedNow[item.Name] {
+				left = append(left, *item.Server)
+			}
+		}
+	}
 	outcome = replica.Apply(c)
-	replica.Confirm(completeAt)
-	if outcome != feed.Changed {
-		return nil, outcome, false
+	if outcome.Taken() {
+		replica.Confirm(completeAt)
+	}
+	if kind == feed.Evacuations && outcome.Taken() {
+		for _, item := range c.Items {
+			// The copy may never have had what was written again and then removed.
+			if item.Deleted && f.holds.EvacuationEnded(item.Name) {
+				outcome = max(outcome, feed.Changed)
+			}
+		}
 	}
-	items = make([]feed.Item, 0, len(replica.Items()))
-	for _, item := range replica.Items() {
-		items = append(items, item)
+	if outcome == feed.Restored {
+		switch kind {
+		case feed.Servers:
+			f.holds.ServersRestored(now, servers, left, f.listedServers())
+			if f.awaitedEra == c.Era {
+				f.holds.Adopt(now, f.awaited)
+			}
+			f.awaited, f.awaitedEra = nil, 0
+		case feed.Evacuations:
+			f.holds.EvacuationsRestored(now, domains, f.listedDomains())
+		}
+	}
+	return outcome, f.role.Watch
+}
+
+// listedServers returns the servers of the copy.
+func (f *storeFeeds) listedServers() []restore.Listed {
+	items := f.replicas[feed.Servers].Items()
+	out := make([]restore.Listed, 0, len(items))
+	for _, item := range items {
+		if item.Server != nil {
+			out = append(out, restore.Listed{Server: *item.Server, Revision: item.Revision})
+		}
 	}
-	return items, outcome, f.role.Watch
+	return out
+}
+
+// listedDomains returns the evacuated failure domains of the copy.
+func (f *storeFeeds) listedDomains() []string {
+	return slices.Collect(maps.Keys(f.replicas[feed.Evacuations].Items()))
+}
+
+// serversLocked and evacuatedLocked return what is in force: what the copy lists, and
+// what is held since the store came back from an older copy. The caller holds the lock.
+func (f *storeFeeds) serversLocked(now time.Time) []fleet.Server {
+	return f.holds.Servers(now, f.listedServers())
+}
+
+func (f *storeFeeds) evacuatedLocked(now time.Time) []string {
+	return f.holds.Evacuated(now, f.listedDomains())
 }
 
-// applyItems puts all items of a kind, which source sent, in force.
-func (h *Host) applyItems(kind feed.Kind, source string, items []feed.Item) {
+// table returns the tables of the copy, or nil.
+func (f *storeFeeds) table() *fleet.Table {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.tableLocked()
+	if t == nil {
+		return nil
+	}
+	own := *t // because applyTable indexes it
+	return &own
+}
+
+// tableLocked is table for callers that hold the lock and do not change the tables.
+func (f *storeFeeds) tableLocked() *fleet.Table {
+	for _, item := range f.replicas[feed.Tables].Items() {
+		if item.Table != nil {
+			return item.Table
+		}
+	}
+	return nil
+}
+
+// inForce returns the servers and the evacuated failure domains that are in force.
+func (f *storeFeeds) inForce(now time.Time) ([]fleet.Server, []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.serversLocked(now), f.evacuatedLocked(now)
+}
+
+// held returns the number of servers and failure domains of which something is held.
+func (f *storeFeeds) held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holds.Count()
+}
+
+// expireHolds drops what is held no longer and reports whether there was anything.
+func (f *storeFeeds) expireHolds(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holds.Expire(now)
+}
+
+// adoptHolds adds what another host holds, if its copy is not of an earlier era, and
+// reports whether something was added. If that copy is of a later era, whose revisions
+// cannot be compared with those of this host's copy, it waits for the list.
+func (f *storeFeeds) adoptHolds(now time.Time, era int64, m *restore.Memory) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch at := f.replicas[feed.Servers].Position(); {
+	case era < at.Era:
+		return false
+	case at.Known() && era > at.Era:
+		f.awaited, f.awaitedEra = m, era
+		return false
+	}
+	return f.holds.Adopt(now, m)
+}
+
+// applyCopy puts the copy of a kind, which source sent, in force. restored is set if it
+// is the first since the store came back from an older copy.
+func (h *Host) applyCopy(kind feed.Kind, source string, restored bool) {
 	switch kind {
 	case feed.Tables:
-		for _, item := range items {
-			if item.Table != nil {
-				t := *item.Table // a copy, because applyTable indexes it
-				inForce := h.applyTable(&t)
-				h.tablesRefused.Store(!inForce)
-				if !inForce {
-					h.newsRefused(kind, notTaken{Source: source, Reason: notTakenVersion, Revision: item.Revision, Detail: fmt.Sprintf("version %d", t.Version)})
-				}
-			}
+		t := h.feeds.table()
+		if t == nil {
+			return
 		}
-	case feed.Servers:
-		list := make([]fleet.Server, 0, len(items))
-		for _, item := range items {
-			if item.Server != nil {
-				list = append(list, *item.Server)
-			}
+		inForce := h.applyTable(t)
+		h.tablesRefused.Store(!inForce)
+		if !inForce {
+			at := h.feeds.position(kind)
+			h.newsRefused(kind, notTaken{Source: source, Reason: notTakenVersion, Era: at.Era, Revision: at.Revision, Detail: fmt.Sprintf("version %d", t.Version)})
 		}
-		h.applyServers(list)
+	case feed.Servers:
+		servers, _ := h.feeds.inForce(time.Now())
+		// A host that took the list from another one has taken the time since the store's
+		// return from there, too.
+		h.applyServers(servers, restored && source == sourceStore)
 	case feed.Evacuations:
-		domains := make([]string, 0, len(items))
-		for _, item := range items {
-			domains = append(domains, item.Name)
-		}
+		_, domains := h.feeds.inForce(time.Now())
 		h.applyEvacuated(domains)
 	}
 }
 
+// applyHolds puts a change of what is held in force.
+func (h *Host) applyHolds() {
+	h.copiesMu.Lock()
+	defer h.copiesMu.Unlock()
+	servers, domains := h.feeds.inForce(time.Now())
+	h.applyServers(servers, false)
+	h.applyEvacuated(domains)
+}
+
 // follows reports whether this host follows the given one.
 func (f *storeFeeds) follows(host string) bool {
 	f.mu.Lock()
@@ -288,18 +470,21 @@
 	return f.role
 }
 
-func (f *storeFeeds) revisions() (out [feed.NumKinds]int64) {
-	for k := range out {
-		out[k] = f.revision(feed.Kind(k))
+// positions returns the positions that the copies have reached.
+func (f *storeFeeds) positions() [feed.NumKinds]feed.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.positionsLocked()
+}
+
+func (f *storeFeeds) positionsLocked() (out [feed.NumKinds]feed.Position) {
+	for k, replica := range f.replicas {
+		out[k] = replica.Position()
 	}
 	return out
 }
 
-func (f *storeFeeds) revision(kind feed.Kind) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.replicas[kind].Revision()
-}
+func (f *storeFeeds) position(kind feed.Kind) feed.Position { return f.positions()[kind] }
 
 // feedAnswer is the response to a follower that fetches changes.
 type feedAnswer struct {
@@ -317,27 +502,55 @@
 	// milliseconds, by server ID. They are sent to followers without servers, which
 	// have just started.
 	Leaving map[string]int64 `cbor:"5,keyasint,omitempty"`
+	// Held is what the responding host knows from before the store came back from an
+	// older copy.
+	Held *restore.Memory `cbor:"6,keyasint,omitempty"`
+	// Table is the version in force at the responding host, present if its copy of the
+	// store has an older one and so does the follower.
+	Table *fleet.Table `cbor:"7,keyasint,omitempty"`
+}
+
+// eraKey returns the key of a follower's query that holds the era of its copy of a kind.
+// The kind itself is the key of the revision.
+func eraKey(kind feed.Kind) string { return kind.String() + "_era" }
+
+// versionKey is the key of a follower's query that holds its version of the tables.
+const versionKey = "version"
+
+// followerPosition returns the position of a follower's copy of a kind, and false if the
+// follower does not ask for the kind. Hosts of earlier versions send no eras.
+func followerPosition(query url.Values, kind feed.Kind) (feed.Position, bool) {
+	revision, err := strconv.ParseInt(query.Get(kind.String()), 10, 64)
+	if err != nil {
+		return feed.Position{}, false
+	}
+	era, err := strconv.ParseInt(query.Get(eraKey(kind)), 10, 64)
+	if err != nil {
+		era = 0
+	}
+	return feed.Position{Era: era, Revision: revision}, true
 }
 
-// serveFeed sends a follower the changes after the revisions that it has. The
-// query holds a revision for each kind that the follower asks for.
+// serveFeed sends a follower the changes after the positions that it has. The query
+// holds a revision and an era for each kind that the follower asks for.
 func (h *Host) serveFeed(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	f := h.feeds
-	now := time.Now()
 	var answer feedAnswer
+	h.copiesMu.Lock() // a list of a new era goes with the time since it came
+	now := time.Now()
 	h.registryMu.Lock()
 	answer.SinceOutageMS = h.registry.SinceOutage(now).Milliseconds()
 	h.registryMu.Unlock()
 	f.mu.Lock()
 	answer.AgeMS = f.ageLocked(now).Milliseconds()
 	for kind := range feed.NumKinds {
-		after, err := strconv.ParseInt(query.Get(kind.String()), 10, 64)
+		after, asked := followerPosition(query, kind)
 		replica := f.replicas[kind]
-		if err != nil || replica.Revision() == 0 {
-			continue // the follower did not ask for this kind, or this host has no copy
+		if !asked || !replica.Position().Known() || after.Era > replica.Position().Era {
+			continue // this host has no copy, or one of an earlier era
 		}
-		if kind == feed.Tables && after == 0 {
+		if kind == feed.Tables && !after.Known() {
 			answer.Hosts = h.peers.all()
 		}
 		c := replica.Since(after)
@@ -350,7 +563,10 @@
 		}
 		answer.Changes[kind] = &c
 	}
+	answer.Held = f.holds.Memory(now)
 	f.mu.Unlock()
+	h.copiesMu.Unlock()
+	answer.Table = h.tableAheadOfCopy(query.Get(versionKey))
 	if query.Get(feed.Servers.String()) == "0" {
 		answer.Leaving = map[string]int64{}
 		h.eachPool(func(p *pool) { p.addLeaving(answer.Leaving) })
@@ -364,6 +580,35 @@
 	_, _ = w.Write(raw) // an error means that the follower disconnected
 }
 
+// tableAheadOfCopy returns the version in force if this host's copy of the store has an
+// older one and the follower, whose version is given, does, too; otherwise nil.
+func (h *Host) tableAheadOfCopy(followerVersion string) *fleet.Table {
+	t, inCopy := h.table.Load(), h.feeds.table()
+	version, err := strconv.ParseInt(followerVersion, 10, 64)
+	if err != nil || t == nil || inCopy == nil || inCopy.Version >= t.Version || version >= t.Version {
+		return nil
+	}
+	return t
+}
+
+// fetchHolds asks another host for what it knows from before the store came back, unless
+// one has said so in this era. A host that has just started and read the store itself does not know it.
+func (h *Host) fetchHolds(now time.Time) {
+	f := h.feeds
+	f.mu.Lock()
+	era := earliestEra(f.positionsLocked())
+	due := era > f.holdsEra && f.replicas[feed.Servers].Position().Known()
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	if from := h.peers.holding(now, era); from != "" {
+		if p, ok := h.peers.get(from); ok {
+			h.startFetch(from, p.host.ControlAddress)
+		}
+	}
+}
+
 // fetchIfBehind starts to fetch changes from a host if that host's last beacon
 // announced newer ones. Otherwise this host's copy is as new as the other host's,
 // and is confirmed up to date for the same time. It reports whether a transfer
@@ -373,31 +618,61 @@
 	if !ok {
 		return false
 	}
-	f := h.feeds
+	if !h.feeds.behind(&p) {
+		for kind, confirmed := range h.feeds.confirm(&p) {
+			if confirmed {
+				h.newsTaken(feed.Kind(kind), from)
+			}
+		}
+		return false
+	}
+	return h.startFetch(from, p.host.ControlAddress)
+}
+
+// behind reports whether another host has newer changes of any kind.
+func (f *storeFeeds) behind(p *peerState) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	behind := false
 	for k, replica := range f.replicas {
-		behind = behind || replica.Revision() < p.changeRevisions[k] || replica.Revision() == 0
+		if !replica.Position().Known() || replica.Position().Before(p.changePositions[k]) {
+			return true
+		}
 	}
-	if !behind {
-		for kind, replica := range f.replicas {
+	return false
+}
+
+// confirm records that the copies are as new as those of another host, apart from kinds
+// of which that host has a copy of an earlier era. It returns the kinds that it
+// confirmed.
+func (f *storeFeeds) confirm(p *peerState) (confirmed [feed.NumKinds]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k, replica := range f.replicas {
+		if confirmed[k] = p.changePositions[k].Era >= replica.Position().Era; confirmed[k] {
 			replica.Confirm(p.heardAt.Add(-p.copyAge))
-			h.newsTaken(feed.Kind(kind), from)
 		}
-		return false
 	}
+	return confirmed
+}
+
+// startFetch starts to fetch the changes that a host has after this host's positions. It
+// reports whether a transfer began; there is one at a time.
+func (h *Host) startFetch(from, address string) bool {
+	f := h.feeds
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.fetching {
 		return false
 	}
 	f.fetching = true
-	query := url.Values{}
-	for kind := range feed.NumKinds {
-		query.Set(kind.String(), strconv.FormatInt(f.replicas[kind].Revision(), 10))
+	query := url.Values{versionKey: {strconv.FormatInt(h.tableVersion(), 10)}}
+	for kind, at := range f.positionsLocked() {
+		query.Set(feed.Kind(kind).String(), strconv.FormatInt(at.Revision, 10))
+		query.Set(eraKey(feed.Kind(kind)), strconv.FormatInt(at.Era, 10))
 	}
 	h.tomb.Go(func() error {
 		var err error
-		if !h.protect("peer", func() { err = h.fetchChanges(from, p.host.ControlAddress, query) }) {
+		if !h.protect("peer", func() { err = h.fetchChanges(from, address, query) }) {
 			err = errPanicked
 		}
 		f.mu.Lock()
@@ -449,25 +724,56 @@
 	}
 	now := time.Now()
 	completeAt := now.Add(-time.Duration(answer.AgeMS) * time.Millisecond)
-	h.registryMu.Lock()
-	h.registry.AdoptSinceOutage(now, time.Duration(answer.SinceOutageMS)*time.Millisecond)
-	h.registryMu.Unlock()
+	if !h.feeds.ahead(&answer) {
+		h.registryMu.Lock()
+		h.registry.AdoptSinceOutage(now, time.Duration(answer.SinceOutageMS)*time.Millisecond)
+		h.registryMu.Unlock()
+	}
 	for _, host := range answer.Hosts {
 		if err := h.peers.addPublished(host); err != nil {
 			h.log.warn(err, "entry host in a peer's list ignored")
 		}
 	}
+	// What is in force elsewhere comes before the copy, so that nothing older is in force
+	// for a moment.
+	if answer.Table != nil {
+		h.applyTable(answer.Table)
+	}
+	if c := answer.Changes[feed.Servers]; c != nil && h.feeds.adoptHolds(now, c.Era, answer.Held) {
+		h.applyHolds()
+	}
 	for kind, c := range answer.Changes {
 		if c != nil {
 			h.applyChanges(feed.Kind(kind), from, *c, completeAt)
 		}
 	}
+	if answer.Held != nil || answer.Table != nil {
+		h.feeds.holdsFetched()
+	}
 	if len(answer.Leaving) > 0 {
 		h.eachPool(func(p *pool) { p.recordLeaving(answer.Leaving) })
 	}
 	return nil
 }
 
+// ahead reports whether this host has a copy that the answer lacks, or one of a later
+// era.
+func (f *storeFeeds) ahead(answer *feedAnswer) bool {
+	for kind, at := range f.positions() {
+		if c := answer.Changes[kind]; at.Known() && (c == nil || c.Era < at.Era) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsFetched records that another host has said what it holds in this era.
+func (f *storeFeeds) holdsFetched() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holdsEra = earliestEra(f.positionsLocked())
+}
+
 func decodeFeedAnswer(raw []byte, a *feedAnswer) error {
 	if err := cbor.Unmarshal(raw, a); err != nil {
 		return errors.Trace(err)
@@ -483,7 +789,18 @@
 
 // storeFailed logs and counts a failed call to the store.
 func (h *Host) storeFailed(kind feed.Kind, err error) {
-	h.log.storeFailed(kind.String(), err)
-	h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenCallFailed, Detail: err.Error()})
+	switch {
+	case errors.Is(err, errOlderAnswer): // applyChanges has recorded it
+	case errors.Is(err, ErrEraChanged): // the next list is of the new era
+	case errors.Is(err, feed.ErrEraMissing):
+		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenEraMissing, Detail: err.Error()})
+	case errors.Is(err, feed.ErrEraUnconfirmed):
+		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenEraUnsure, Detail: err.Error()})
+	case errors.Is(err, feed.ErrEraPassed):
+		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenEraPassed, Detail: err.Error()})
+	default:
+		h.log.storeFailed(kind.String(), err)
+		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenCallFailed, Detail: err.Error()})
+	}
 	h.metrics.storeCalls.WithLabelValues(kind.String(), "failed").Inc()
 }
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -91,7 +91,7 @@
 		return err
 	}},
 	"watch of the platform's store": {`{"events":[],"currentRev":2}`, func(address string) error {
-		_, err := platform.NewSource(address).Watch(context.Background(), feed.Servers, 1, time.Second)
+		_, err := platform.NewSource(address).Watch(context.Background(), feed.Servers, feed.Position{Revision: 1}, time.Second)
 		return err
 	}},
 	"object store": {`{"objects":[]}`, func(address string) error {
