Leave a watcher from which changes cannot be fetched

What callers see: on all hosts of a group but one, new routes answered with 404 and requests to servers that drain, for as long as the connections to the host that asks the store are silent while its beacons arrive.

Cause: ChooseRole goes by beacons alone. A failed transfer changed nothing, so that the followers tried again every 0.8 s, and nobody else asked the store.

TestWatcherWhoseChangesCannotBeFetched: without the change the followers stay at the old version for the 20 s of the test.

Change: after a failed transfer a host is not followed, nor asked otherwise, for 5 s, doubled with each further one up to 40 s. The others take over in their order, as from a host that is gone, and the followers follow the first.

--- a/pkg/steer/copies_test.go
+++ b/pkg/steer/copies_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
+	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -107,3 +110,25 @@
 		})
 	}
 }
+
+// Guards against a host that follows a watcher for as long as its beacons arrive, although
+// the changes cannot be fetched from it (issue 41).
+func TestWatcherWhoseChangesCannotBeFetched(t *testing.T) {
+	silent, err := net.Listen("tcp4", "127.0.0.1:0") // accepts connections and answers nothing
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	source := newSource()
+	putTable(source, 3)
+	var hosts []*Host
+	for _, name := range []string{"h1", "h2", "h3"} {
+		hosts = append(hosts, startHostWith(t, source, name, "a-1", io.Discard, func(s *Settings) { s.Advertise.Control = silent.Addr().String() }))
+	}
+	inForce := func(version int64) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(hosts, func(h *Host) bool { return h.Dump().TableVersion != version })
+		}
+	}
+	require.Eventually(t, inForce(3), waitTimeout, 5*time.Millisecond)
+	putTable(source, 4)
+	require.Eventually(t, inForce(4), waitTimeout, 5*time.Millisecond)
+}
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -30,6 +30,10 @@
 	// supersededBy. It is longer than the delay of datagrams in the network and
 	// than any beacon interval.
 	minRestartGap = 500 * time.Millisecond
+	// minFetchPause is how long no changes are fetched from a host after one failed
+	// transfer; others take over meanwhile. It doubles up to maxFetchPauseDoublings times.
+	minFetchPause          = 5 * time.Second
+	maxFetchPauseDoublings = 3
 	// maxUnpublished bounds the hosts that describe themselves in datagrams and are not in
 	// the list of published hosts. It is above the number of hosts that start together.
 	maxUnpublished = 1024
@@ -64,6 +68,20 @@
 	// held is set if the host knows something from before the store came back from an
 	// older copy.
 	held bool
+	// failedFetches is the number of failed transfers from the host since the last one
+	// that succeeded, and failedAt when the last one failed.
+	failedFetches int
+	failedAt      time.Time
+}
+
+// fetchable reports whether changes may be fetched from the host. Its beacons may arrive
+// although transfers from it fail; the pause after a failed one doubles with each.
+func (p *peerState) fetchable(now time.Time) bool {
+	if p.failedFetches == 0 {
+		return true
+	}
+	pause := minFetchPause << min(p.failedFetches-1, maxFetchPauseDoublings)
+	return now.Sub(p.failedAt) >= pause
 }
 
 // era returns the earliest era of the host's copies.
@@ -308,7 +326,7 @@
 		case !p.group[name]:
 			continue
 		case s.alive(now) && !s.viaDigest && !s.leaving:
-			state.Watching, state.Age, state.Era = s.watching, s.copyAge+now.Sub(s.heardAt), s.era()
+			state.Watching, state.Age, state.Era = s.watching && s.fetchable(now), s.copyAge+now.Sub(s.heardAt), s.era()
 		case !starting || !s.heardAt.IsZero():
 			continue
 		}
@@ -328,7 +346,7 @@
 	best, bestLead := "", feed.Position{}
 	for name, s := range p.hosts {
 		otherRegion := s.host.Region != p.self.Region && !own[feed.Tables].Known()
-		if !p.group[name] && !otherRegion || !s.alive(now) || s.viaDigest {
+		if !p.group[name] && !otherRegion || !s.alive(now) || s.viaDigest || !s.fetchable(now) {
 			continue
 		}
 		lead := feed.Position{} // sums over the kinds
@@ -356,13 +374,27 @@
 	defer p.mu.RUnlock()
 	first := ""
 	for name, s := range p.hosts {
-		if p.group[name] && s.held && s.alive(now) && !s.viaDigest && s.era() >= era && (first == "" || name < first) {
+		if p.group[name] && s.held && s.alive(now) && !s.viaDigest && s.fetchable(now) && s.era() >= era && (first == "" || name < first) {
 			first = name
 		}
 	}
 	return first
 }
 
+// recordFetch records the outcome of a transfer of changes from a host.
+func (p *peers) recordFetch(now time.Time, name string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch s := p.hosts[name]; {
+	case s == nil:
+	case ok:
+		s.failedFetches = 0
+	default:
+		s.failedFetches++
+		s.failedAt = now
+	}
+}
+
 // get returns the state of a host, and whether the host is known.
 func (p *peers) get(name string) (peerState, bool) {
 	p.mu.RLock()
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -678,6 +678,7 @@
 		f.mu.Lock()
 		f.fetching = false
 		f.mu.Unlock()
+		h.peers.recordFetch(time.Now(), from, err == nil)
 		if err != nil && h.tomb.Alive() {
 			h.log.warn(err, "could not fetch changes from a peer")
 			for kind := range feed.NumKinds {
