Take client blocks whose version was given out before

Operators would see: lookups that go by the old client blocks for good, after the platform's store was restored and the blocks were written again.

Cause: hosts of tamarackswitch entry compare the highest version of the listed objects with that of the blocks in force, also in the full read that is to find a restored store. A restored store gives versions out again.

Evidence: TestRestoredStoreBlocksVersionGivenOutAgain; before, 2000 blocks stayed in force in place of the 1500 that the store held.

The content now decides whether the blocks have changed. Unchanged ones are still not decoded again, and the polls between the full reads still transfer nothing.

--- a/pkg/entry/capacity_test.go
+++ b/pkg/entry/capacity_test.go
@@ -365,3 +365,27 @@
 	}
 	return out, err
 }
+
+// TestRestoredStoreBlocksVersionGivenOutAgain guards against client blocks that never come
+// into force because a restored store has given their version to others before.
+func TestRestoredStoreBlocksVersionGivenOutAgain(t *testing.T) {
+	h := capacityHost(t, size{24, 100, 6, 2})
+	store := memstore.New(time.Now)
+	h.store = store
+	put := func(blocks int) {
+		for _, o := range capacityBlocks(t, blocks, 6) {
+			have, _ := store.Get(context.Background(), o.Key)
+			_, err := store.Put(context.Background(), o.Key, o.Value, have.Version)
+			require.NoError(t, err)
+		}
+	}
+	put(1000)
+	older := store.Snapshot()
+	put(2000)
+	require.NoError(t, h.readBlocks(context.Background(), true))
+	require.Equal(t, 2000, h.blocks.Load().table.Size())
+	store.Restore(older)
+	put(1500)
+	require.NoError(t, h.readBlocks(context.Background(), true))
+	require.Equal(t, 1500, h.blocks.Load().table.Size())
+}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tamarackswitch/tamarackswitch/pkg/blocks"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/lookup"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/membership"
@@ -413,6 +416,7 @@
 	sites   []lookup.Site
 	table   *lookup.Blocks
 	version int64
+	hash    uint64 // of the objects; a restored store gives versions out again
 }
 
 // pollBlocks reads the client blocks at the start and then looks for changes
@@ -453,11 +457,14 @@
 }
 
 func (h *Host) takeBlocks(now time.Time, objects []platform.Object) {
-	version := int64(0)
+	version, content := int64(0), xxhash.New()
 	for _, o := range objects {
 		version = max(version, o.Version)
+		fmt.Fprintf(content, "%s %d %d ", o.Key, o.Version, len(o.Value))
+		_, _ = content.Write(o.Value)
 	}
-	if b := h.blocks.Load(); len(objects) == 0 || (b != nil && b.version == version) {
+	hash := content.Sum64()
+	if b := h.blocks.Load(); len(objects) == 0 || (b != nil && b.hash == hash) {
 		return
 	}
 	sites, table, err := blocks.Decode(objects)
@@ -465,7 +472,7 @@
 		h.log.Error().Err(err).Msg("client blocks refused; the last ones stay in force")
 		return
 	}
-	h.blocks.Store(&clientBlocks{sites, table, version})
+	h.blocks.Store(&clientBlocks{sites, table, version, hash})
 	h.rebuildLookups(now)
 	h.log.Info().Int("blocks", table.Size()).Int("sites", len(sites)).Msg("client blocks in force")
 }
