Take the time since the store's return with the list of servers

Callers would see: a pool that shrinks for about two seconds on a host that got the list of the new era from another one, because the servers that the copy lacks are dropped at once there.

Cause: a host takes the time since the store's return from the host that sends the list, but not if it has a later copy of any kind itself. The copies of the kinds reach a new era one after another, so that both may be ahead of each other.

Evidence: TestRestoredStoreReachedInPartsKeepsServers; before, no server had a grace.

The time belongs to the servers, so that only the copies of the servers are compared. Result: the test passes; all TestRestoredStore tests of pkg/steer pass.

--- a/pkg/steer/restored_test.go
+++ b/pkg/steer/restored_test.go
@@ -372,3 +372,24 @@
 	require.EqualValues(t, 2, a.Changes[feed.Servers].Era)
 	require.Less(t, a.SinceOutageMS, time.Minute.Milliseconds())
 }
+
+// Guards against a host that drops the servers which the copy lacks, because its copy of
+// another kind was of the new era before that of the host from which it got the list.
+func TestRestoredStoreReachedInPartsKeepsServers(t *testing.T) {
+	h := newUnstartedHost(t)
+	h.registry = registry.New(time.Now().Add(-time.Hour))
+	list := func(era int64, items ...feed.Item) *feed.Changes {
+		return &feed.Changes{Era: era, Revision: 100, Complete: true, Items: items}
+	}
+	server := feed.Item{Name: "s", Revision: 90, Server: &fleet.Server{ID: "s", Pool: "p", Address: "127.0.0.1:8", Domain: "a-1", Slots: 1, StartedMS: 5}}
+	h.applyChanges(feed.Servers, "h2", *list(1, server), time.Now())
+	h.applyChanges(feed.Evacuations, sourceStore, *list(2), time.Now())
+	address := peerThatAnswers(t, &feedAnswer{
+		Changes:       [feed.NumKinds]*feed.Changes{feed.Servers: list(2), feed.Evacuations: list(1)},
+		SinceOutageMS: 20,
+	})
+	require.NoError(t, h.fetchChanges("h2", address, url.Values{}))
+	require.Equal(t, feed.Position{Era: 2, Revision: 100}, h.feeds.position(feed.Servers))
+	_, lapsed := h.registry.Counts()
+	require.Equal(t, 1, lapsed)
+}
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -757,15 +757,11 @@
 	return nil
 }
 
-// ahead reports whether this host has a copy that the answer lacks, or one of a later
-// era.
+// ahead reports whether this host has a copy of the servers that the answer lacks, or one
+// of a later era.
 func (f *storeFeeds) ahead(answer *feedAnswer) bool {
-	for kind, at := range f.positions() {
-		if c := answer.Changes[kind]; at.Known() && (c == nil || c.Era < at.Era) {
-			return true
-		}
-	}
-	return false
+	at, c := f.position(feed.Servers), answer.Changes[feed.Servers]
+	return at.Known() && (c == nil || c.Era < at.Era)
 }
 
 // holdsFetched records that another host has said what it holds in this era.
