Ignore the entry of a host's earlier process that the store lists again

Callers would see: a lookup answer that shrinks and a dispatcher that changes for a moment, at each read of the published hosts, while the store lists the earlier process of a host whose clock was set back before it started again; so after the store's return from a copy of before that start.

Cause: a published entry with a later start time replaced the known process, of which nothing was heard then.

Evidence: TestRestoredStoreListsEarlierProcessOfAHost; before, the host was not live.

A process that was replaced does not come back, whatever its start time; any other later one still replaces the known process. Result: the test passes, and so do the tests of the peers.

--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -54,6 +54,9 @@
 	// viaDigest is set if heardAt comes from a digest and the host is of another
 	// group.
 	viaDigest bool
+	// replacedMS is the start time of the process that this one has replaced, 0 if none is
+	// known. The store may list that process again.
+	replacedMS int64
 	// knownSince is when this host first learned of the process.
 	knownSince time.Time
 	leaving    bool
@@ -180,11 +183,13 @@
 		}
 		p.unpublished++
 	}
-	if known == nil || known.host.StartedMS < h.StartedMS || !describedAt.IsZero() && known.supersededBy(describedAt, h.StartedMS) {
+	if known == nil || known.host.StartedMS < h.StartedMS && h.StartedMS != known.replacedMS || !describedAt.IsZero() && known.supersededBy(describedAt, h.StartedMS) {
+		replacedMS := int64(0)
 		if known != nil {
+			replacedMS = known.host.StartedMS
 			delete(p.nameByID, sightingID(known.host))
 		}
-		p.hosts[h.Name] = &peerState{host: h, addr: addr, published: published, knownSince: time.Now()}
+		p.hosts[h.Name] = &peerState{host: h, addr: addr, published: published, replacedMS: replacedMS, knownSince: time.Now()}
 		p.nameByID[sightingID(h)] = h.Name
 		if h.Region == p.self.Region {
 			p.lastJoin = time.Now()
--- a/pkg/steer/peers_test.go
+++ b/pkg/steer/peers_test.go
@@ -195,6 +195,31 @@
 	require.NotContains(t, p.nameByID, sightingID(other))
 }
 
+// Guards against a host that seems to be gone because the store lists its earlier process
+// again, which started later by a clock that was set back since.
+func TestRestoredStoreListsEarlierProcessOfAHost(t *testing.T) {
+	hosts := regionHosts(2)
+	self, earlier := hosts[0], hosts[1]
+	p := newPeers(self)
+	now := time.Now()
+	recordBeacon := func(h fleet.EntryHost) {
+		_, err := p.recordBeacon(now, h.Name, h.StartedMS, &beacon{Host: &h, Ready: true})
+		require.NoError(t, err)
+	}
+	earlier.StartedMS = 9000
+	recordBeacon(earlier)
+	now = now.Add(minRestartGap + time.Millisecond)
+	present := earlier
+	present.StartedMS = 8500
+	recordBeacon(present)
+	require.NoError(t, p.addPublished(earlier))
+	require.Equal(t, []fleet.EntryHost{present}, p.live(now))
+	later := earlier
+	later.StartedMS = 9001
+	require.NoError(t, p.addPublished(later))
+	require.Equal(t, later, p.hosts[present.Name].host)
+}
+
 // Guards against memory that fills with hosts that do not exist: any program can send
 // datagrams in which a host describes itself. Hosts that are published, or that are found to
 // be published later, always become known.
