The soak lets the store come back from older copies

Planned seeds lose the report of each drain and each evacuation once more after its bound: the server and the domain get nothing while it is lost and written again. Bounds count from the time from which the store has the write. Planned seeds have two rounds at least, so that the longer bounds leave time for an evacuation.

Restores have random values of their own: a seed draws the same other faults in the same order as before, and what its restores are beside it.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -186,12 +187,15 @@
 	}
 }
 
+// minRounds is the number of rounds of planned work after which each kind of it was done.
+const minRounds = 2
+
 // runPlannedWork changes tables, restarts hosts gracefully, replaces servers and
-// evacuates failure domains until duration has passed, without any fault. None
-// of this may be visible to callers.
+// evacuates failure domains until duration has passed, without any fault but
+// restores of the store. None of this may be visible to callers.
 func (s *soak) runPlannedWork(duration time.Duration) {
 	until := time.Now().Add(duration)
-	for round := 0; round == 0 || time.Now().Before(until); round++ {
+	for round := 0; round < minRounds || time.Now().Before(until); round++ {
 		s.writeNextTables()
 		s.awaitTables(applyBound, "after a change of the tables")
 		restarted := s.hosts[round%len(s.hosts)]
@@ -202,22 +206,23 @@
 				s.recorder.addViolation("%v", err)
 			}
 		})
-		wg.Go(func() { s.replaceGracefully(draining) })
+		wg.Go(func() { s.replaceGracefully(draining, s.restoreRNG(2*round+1)) })
 		if round%2 == 1 {
-			wg.Go(func() { s.evacuateAndRestore(domains[round/2%len(domains)]) })
+			wg.Go(func() { s.evacuateAndRestore(domains[round/2%len(domains)], s.restoreRNG(2*round+2)) })
 		}
 		wg.Wait()
 		s.awaitSteadyState("after planned work")
 	}
 }
 
-// replaceGracefully drains a server, checks that it gets no more requests, and
-// deploys another one at its address.
-func (s *soak) replaceGracefully(b *backend) {
+// replaceGracefully drains a server, checks that it gets no more requests, also while
+// the store has lost that it drains, and deploys another one at its address.
+func (s *soak) replaceGracefully(b *backend, rng *rand.Rand) {
 	server := b.server.Load()
 	s.store.Publish(server.ServerEntry, "draining")
-	time.Sleep(drainBound)
+	s.awaitWritten("servers", server.ID, drainBound)
 	b.drained.Store(true)
+	s.loseWrite("servers", server.ID, rng)
 	time.Sleep(time.Second)
 	server.Stop()
 	s.store.Withdraw(server.ID)
@@ -225,12 +230,13 @@
 	s.deploy(b)
 }
 
-// evacuateAndRestore evacuates a failure domain, checks that its servers get no
-// more requests, and ends the evacuation.
-func (s *soak) evacuateAndRestore(domain string) {
+// evacuateAndRestore evacuates a failure domain, checks that its servers get no more
+// requests, also while the store has lost the evacuation, and ends it.
+func (s *soak) evacuateAndRestore(domain string, rng *rand.Rand) {
 	s.store.Evacuate(domain)
-	time.Sleep(evacuateBound)
+	s.awaitWritten("evacuations", domain, evacuateBound)
 	s.setEvacuated(domain, true)
+	s.loseWrite("evacuations", domain, rng)
 	time.Sleep(500 * time.Millisecond)
 	s.setEvacuated(domain, false)
 	s.store.EndEvacuation(domain)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -69,7 +69,8 @@
 // TestSoak runs random faults from a range of seeds. It guards against requests
 // that run twice or that no caller sent, requests that run although they were
 // refused as not run, truncated or mixed-up answers, hosts that do not recover,
-// and planned work that callers notice.
+// and planned work that callers notice. In all seeds the store comes back from older
+// copies meanwhile, and the operator and the servers write again what it has lost.
 func TestSoak(t *testing.T) {
 	first, last := 1, 3
 	if text := os.Getenv("SOAK_SEEDS"); text != "" {
@@ -125,6 +126,9 @@
 type soak struct {
 	t   *testing.T
 	rng *rand.Rand
+	// seed begins the random values of the restores of the store, which are counted.
+	seed     uint64
+	restores atomic.Int64
 	// planned is set if the seed has only planned work, which callers must not
 	// notice, instead of faults.
 	planned    bool
@@ -146,6 +150,7 @@
 func newSoak(t *testing.T, seed uint64, hosts, servers int) *soak {
 	s := newEmptySoak(t)
 	s.rng, s.planned = rand.New(rand.NewPCG(seed, 77)), seed%plannedSeedInterval == 0
+	s.seed = seed
 	var err error
 	s.storeProxy, err = newTCPProxy(freeAddress(t), s.storeAddress)
 	require.NoError(t, err)
@@ -203,11 +208,17 @@
 	for i := range max(12, len(s.hosts)) {
 		callers.Go(func() { s.runCaller(ctx, i) })
 	}
+	for _, h := range s.hosts {
+		callers.Go(func() { s.watchTables(ctx, h) })
+	}
+	var restores sync.WaitGroup
+	restores.Go(func() { s.restoreStore(duration, s.restoreRNG(0)) })
 	if s.planned {
 		s.runPlannedWork(duration)
 	} else {
 		s.injectFaults(duration)
 	}
+	restores.Wait()
 	s.awaitSteadyState("after the faults or planned work")
 	cancel()
 	callers.Wait()
@@ -219,7 +230,7 @@
 	r := s.recorder
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s.t.Logf("sent %d, served %d, refused as not run %d", len(r.sent), r.served, len(r.reportedNotRun))
+	s.t.Logf("sent %d, served %d, refused as not run %d, %d restores of the store", len(r.sent), r.served, len(r.reportedNotRun), s.restores.Load())
 	if len(r.violations) > 0 {
 		for _, h := range s.hosts {
 			s.t.Logf("log of %s:\n%s", h.name, h.log.String())
@@ -230,12 +241,13 @@
 }
 
 // awaitTables waits until every host is ready and uses the latest tables, and
-// reports a violation for each host that does not within limit.
+// reports a violation for each host that does not within limit, counted anew if the store
+// loses them and gets them again.
 func (s *soak) awaitTables(limit time.Duration, phase string) {
 	deadline := time.Now().Add(limit)
 	for _, h := range s.hosts {
 		ok := h.readyWithTables(s.tablesVersion)
-		for !ok && time.Now().Before(deadline) {
+		for !ok && (time.Now().Before(deadline) || !s.tablesWrittenFor(limit)) {
 			time.Sleep(20 * time.Millisecond)
 			ok = h.readyWithTables(s.tablesVersion)
 		}
@@ -245,6 +257,12 @@
 	}
 }
 
+// tablesWrittenFor reports whether the store has had the latest tables for a time.
+func (s *soak) tablesWrittenFor(length time.Duration) bool {
+	since := s.store.WrittenSince("config", "main")
+	return !since.IsZero() && time.Since(since) >= length
+}
+
 // minConsecutiveServed is the number of consecutive requests that must succeed
 // before the system counts as being in a steady state.
 const minConsecutiveServed = 20
