The soak counts the requests to a cold server over all hosts

Of the requests that were sent by callers and arrived within one second, a cold server may get 5 * 1.5 + 5, from all hosts together, also from hosts that are cut off, paused or just started.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -36,12 +36,14 @@
 	// runs how often servers ran each request.
 	sent, reportedNotRun map[string]bool
 	runs                 map[string]int
-	served               int
-	violations           []string
+	// sentAt holds when the requests were sent.
+	sentAt     map[string]time.Time
+	served     int
+	violations []string
 }
 
 func newRecorder() *recorder {
-	return &recorder{sent: map[string]bool{}, reportedNotRun: map[string]bool{}, runs: map[string]int{}}
+	return &recorder{sent: map[string]bool{}, reportedNotRun: map[string]bool{}, runs: map[string]int{}, sentAt: map[string]time.Time{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
@@ -113,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	s.recorder.mu.Lock()
-	s.recorder.sent[id] = true
+	s.recorder.sent[id], s.recorder.sentAt[id] = true, time.Now()
 	s.recorder.mu.Unlock()
 	// The lengths of the ids give several requests the same affinity key.
 	request := standin.Request{
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -262,16 +262,24 @@
 	}
 }
 
-// deploy starts a new server, directs the backend's proxy to it and publishes it
-// in the store.
+// deploy starts a new server, which is cold unless it is the first one, directs the
+// backend's proxy to it and publishes it in the store.
 func (s *soak) deploy(b *backend) {
 	s.deployments++
+	cold := &coldServer{recorder: s.recorder}
 	server := &standin.Server{
 		ServerEntry: standin.ServerEntry{
 			ID: fmt.Sprintf("i-%d", s.deployments), Pool: "p", Address: b.serverProxy.address(), Domain: b.domain, Slots: 4, StartedMS: time.Now().UnixMilli(),
 		},
-		Listen: freeAddress(s.t), ServiceTime: 15 * time.Millisecond, OnRun: func(id string) { s.onServerRun(b, id) },
+		Listen: freeAddress(s.t), ServiceTime: 15 * time.Millisecond, OnRun: func(id string) {
+			cold.check(id)
+			s.onServerRun(b, id)
+		},
+	}
+	if b.server.Load() != nil {
+		server.ColdFor = coldFor
 	}
+	cold.ServerEntry = server.ServerEntry
 	if err := server.Start(); err != nil {
 		s.recorder.addViolation("backend server did not start: %v", err)
 		return
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -196,7 +196,7 @@
 	idempotent, nonIdempotent := route, route
 	idempotent.Name, idempotent.Prefix, idempotent.Idempotent = "safe", "/safe/", true
 	nonIdempotent.Name, nonIdempotent.Prefix = "once", "/once/"
-	s.store.Configure(s.tablesVersion, 5, []string{"p"}, []standin.Route{idempotent, nonIdempotent})
+	s.store.Configure(s.tablesVersion, coldPerS, []string{"p"}, []standin.Route{idempotent, nonIdempotent})
 }
 
 // run injects faults or planned work while callers send requests, then waits for
