--- a/test/soak/restores_test.go
+++ b/test/soak/restores_test.go
@@ -20,12 +20,8 @@
 func (s *soak) restoreStore(duration time.Duration, rng *rand.Rand) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	until := time.Now().Add(duration)
-	for {
+	for until := time.Now().Add(duration); time.Now().Before(until); {
 		time.Sleep(time.Duration(300+rng.IntN(2200)) * time.Millisecond)
-		if time.Now().After(until) {
-			return
-		}
 		for range 1 + rng.IntN(3)/2 {
 			s.restoreOnce(&wg, rng, 0)
 			time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -224,6 +224,7 @@
 	callers.Wait()
 	s.recorder.checkRuns()
 	s.report()
+	require.Positive(s.t, s.restores.Load())
 }
 
 func (s *soak) report() {
