--- a/test/soak/restores_test.go
+++ b/test/soak/restores_test.go
@@ -23,17 +23,21 @@
 	for until := time.Now().Add(duration); time.Now().Before(until); {
 		time.Sleep(time.Duration(300+rng.IntN(2200)) * time.Millisecond)
 		for range 1 + rng.IntN(3)/2 {
-			s.restoreOnce(&wg, rng, 0)
+			s.restoreOnce(&wg, rng, someTime(rng, 6*time.Second))
 			time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
 		}
 	}
 }
 
-// restoreOnce lets the store come back once. The copy is older by minAge at least than the
-// moment in which the store went away.
-func (s *soak) restoreOnce(wg *sync.WaitGroup, rng *rand.Rand, minAge time.Duration) {
-	age := minAge + time.Duration(50+rng.IntN(6000))*time.Millisecond
-	absence := time.Duration(50+rng.IntN(750)) * time.Millisecond
+// someTime returns 50 ms and up to length more.
+func someTime(rng *rand.Rand, length time.Duration) time.Duration {
+	return 50*time.Millisecond + time.Duration(rng.IntN(int(length.Milliseconds())))*time.Millisecond
+}
+
+// restoreOnce lets the store come back once. age is the age of the copy when the store
+// goes away.
+func (s *soak) restoreOnce(wg *sync.WaitGroup, rng *rand.Rand, age time.Duration) {
+	absence := someTime(rng, 750*time.Millisecond)
 	switch rng.IntN(4) {
 	case 0:
 		s.store.GoAway(0)
@@ -59,16 +63,19 @@
 	}
 }
 
-// loseWrite lets the store come back without what was last written to an object, and
-// returns when it is written again.
+// loseWrite lets the store come back without what was last written to an object, half the
+// time as it was directly before, and returns when it is written again.
 func (s *soak) loseWrite(kind, name string, rng *rand.Rand) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	age := someTime(rng, 500*time.Millisecond)
+	if rng.IntN(2) == 0 {
+		age = someTime(rng, 6*time.Second)
+	}
 	if since := s.store.WrittenSince(kind, name); !since.IsZero() {
-		s.restoreOnce(&wg, rng, time.Since(since))
-		return
+		age += time.Since(since)
 	}
-	s.restoreOnce(&wg, rng, 0)
+	s.restoreOnce(&wg, rng, age)
 }
 
 // awaitWritten waits until the store has had for a time what was last written to an object.
