Ask what other hosts hold although an answer of the era before came late

What callers would see: requests to a server that drains or has left, from a host that started shortly before the store came back a second time.

Cause: after any answer with something held, the host noted that it had asked in the era of its own copies. An answer of the era before, which is not adopted, then kept it from asking in the present era.

Evidence: TestRestoredStoreLateMemoryOfTheEraBefore; before, the server stayed ready for the 1 s of the test, and nothing would have asked again.

The era of the answer is noted instead of that of the host's own copies.

--- a/pkg/steer/restored_test.go
+++ b/pkg/steer/restored_test.go
@@ -393,3 +393,36 @@
 	_, lapsed := h.registry.Counts()
 	require.Equal(t, 1, lapsed)
 }
+
+// Guards against a host that never asks what the others hold, because an answer of the era
+// before arrived after the list of the present one.
+func TestRestoredStoreLateMemoryOfTheEraBefore(t *testing.T) {
+	h := newUnstartedHost(t)
+	list := func(era int64) [feed.NumKinds]*feed.Changes {
+		return [feed.NumKinds]*feed.Changes{
+			feed.Tables: {Era: era, Revision: 80, Complete: true}, feed.Evacuations: {Era: era, Revision: 80, Complete: true},
+			feed.Servers: {Era: era, Revision: 80, Complete: true, Items: []feed.Item{{Name: "s", Revision: 60, Server: &fleet.Server{
+				ID: "s", Pool: "p", Address: "127.0.0.1:8", Domain: "a-1", Slots: 1, StartedMS: 5,
+			}}}},
+		}
+	}
+	for kind, c := range list(2) {
+		h.applyChanges(feed.Kind(kind), sourceStore, *c, time.Now())
+	}
+	late := &feedAnswer{Changes: list(1), Held: &restore.Memory{Evacuated: map[string]int64{"a-2": 10_000}}}
+	require.NoError(t, h.fetchChanges("h2", peerThatAnswers(t, late), url.Values{}))
+
+	knowing := &feedAnswer{Changes: list(2), Held: &restore.Memory{Servers: map[string]restore.Server{"s": {StartedMS: 5, Draining: true, ForMS: 10_000, Revision: 60}}}}
+	holder := fleet.EntryHost{
+		Name: "holder", Region: h.region, Domain: "a-1", Capacity: 1, StartedMS: 1,
+		PeerAddress: freeAddress(t), CallerAddress: freeAddress(t), ControlAddress: peerThatAnswers(t, knowing),
+	}
+	_, err := h.peers.recordBeacon(time.Now(), holder.Name, holder.StartedMS, &beacon{Host: &holder, Held: 1, ChangeRevisions: [feed.NumKinds]int64{60, 60, 60}, Eras: []int64{2, 2, 2}})
+	require.NoError(t, err)
+	h.peers.group[holder.Name] = true
+	require.Eventually(t, func() bool {
+		h.fetchHolds(time.Now())
+		servers, _ := h.feeds.inForce(time.Now())
+		return len(servers) == 1 && servers[0].Draining
+	}, time.Second, 10*time.Millisecond)
+}
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -748,8 +748,8 @@
 			h.applyChanges(feed.Kind(kind), from, *c, completeAt)
 		}
 	}
-	if answer.Held != nil || answer.Table != nil {
-		h.feeds.holdsFetched()
+	if c := answer.Changes[feed.Servers]; c != nil && (answer.Held != nil || answer.Table != nil) {
+		h.feeds.holdsFetched(c.Era)
 	}
 	if len(answer.Leaving) > 0 {
 		h.eachPool(func(p *pool) { p.recordLeaving(answer.Leaving) })
@@ -764,11 +764,12 @@
 	return at.Known() && (c == nil || c.Era < at.Era)
 }
 
-// holdsFetched records that another host has said what it holds in this era.
-func (f *storeFeeds) holdsFetched() {
+// holdsFetched records that another host, whose copy is of the given era, has said what it
+// holds.
+func (f *storeFeeds) holdsFetched(era int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.holdsEra = earliestEra(f.positionsLocked())
+	f.holdsEra = max(f.holdsEra, era)
 }
 
 func decodeFeedAnswer(raw []byte, a *feedAnswer) error {
