Give hosts that start the tables in force if the store's copy has none

What callers would see: 503 from hosts that start after the store has come back from a copy of before the first tables, until the operator writes them again.

Cause: the tables in force were announced and sent to such hosts only if the copy of the store had older ones, not if it had none.

Evidence: TestRestoredStoreCopyHasNoTables; before, no tables in 3 s.

--- a/pkg/steer/restored_test.go
+++ b/pkg/steer/restored_test.go
@@ -426,3 +426,18 @@
 		return len(servers) == 1 && servers[0].Draining
 	}, time.Second, 10*time.Millisecond)
 }
+
+// Guards against a host that starts after the store's return without tables, because the copy
+// is older than the first tables, although the other hosts have them in force.
+func TestRestoredStoreCopyHasNoTables(t *testing.T) {
+	r := &restorable{memorySource: newSource(), t: t}
+	r.startHost(r.memorySource, "h0")
+	restore := r.takeCopy()
+	putTable(r.memorySource, 4)
+	inForce := func(h *Host) bool { return h.Dump().TableVersion == 4 }
+	r.eventually(inForce)
+	restore()
+	r.eventually(reached(1))
+	h := r.startHost(r.memorySource, "started-after")
+	require.Eventually(t, func() bool { return inForce(h) }, 3*time.Second, 5*time.Millisecond)
+}
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -119,7 +119,7 @@
 		}
 	}
 	b.Held = f.holds.Count()
-	if t := f.tableLocked(); t != nil && t.Version < tableVersion {
+	if t := f.tableLocked(); tableVersion > 0 && (t == nil || t.Version < tableVersion) {
 		b.Held++
 	}
 }
@@ -506,7 +506,7 @@
 	// older copy.
 	Held *restore.Memory `cbor:"6,keyasint,omitempty"`
 	// Table is the version in force at the responding host, present if its copy of the
-	// store has an older one and so does the follower.
+	// store has an older one or none, and so does the follower.
 	Table *fleet.Table `cbor:"7,keyasint,omitempty"`
 }
 
@@ -581,11 +581,11 @@
 }
 
 // tableAheadOfCopy returns the version in force if this host's copy of the store has an
-// older one and the follower, whose version is given, does, too; otherwise nil.
+// older one or none and the follower, whose version is given, does, too; otherwise nil.
 func (h *Host) tableAheadOfCopy(followerVersion string) *fleet.Table {
 	t, inCopy := h.table.Load(), h.feeds.table()
 	version, err := strconv.ParseInt(followerVersion, 10, 64)
-	if err != nil || t == nil || inCopy == nil || inCopy.Version >= t.Version || version >= t.Version {
+	if err != nil || t == nil || inCopy != nil && inCopy.Version >= t.Version || version >= t.Version {
 		return nil
 	}
 	return t
