Believe an era that does not follow the last one only from answers in a row

What callers would see: hosts that ignore the store for good, until they restart.

Cause: an era that one answer alone had named stayed noted for ever. A second odd answer that named it, however much later, confirmed it, and all answers with the true era were then late ones.

Evidence: TestRestoredStoreOddErasFarApart; before, the second odd answer was taken.

An answer of the latest era now ends the wait for a second one. Result: the tests of pkg/core/feed and platform pass (one run).

--- a/pkg/core/feed/era.go
+++ b/pkg/core/feed/era.go
@@ -25,7 +25,8 @@
 	latest int64
 	// last is the era that the last answer with a readable one has named.
 	last int64
-	// unconfirmed is the last era that one answer alone has named.
+	// unconfirmed is the era that one answer alone has named since the last answer of the
+	// latest era.
 	unconfirmed int64
 	// raised is closed when latest increases, and then replaced.
 	raised chan struct{}
@@ -57,7 +58,7 @@
 		close(e.raised)
 		e.raised = make(chan struct{})
 	}
-	e.last = era
+	e.last, e.unconfirmed = era, 0
 	return era, nil
 }
 
--- a/pkg/core/feed/feed_test.go
+++ b/pkg/core/feed/feed_test.go
@@ -363,3 +363,18 @@
 	latest, _ := e.Latest()
 	require.Equal(t, int64(7), latest)
 }
+
+// Guards against an odd era that is believed because an odd answer long before named it, too.
+func TestRestoredStoreOddErasFarApart(t *testing.T) {
+	e := NewEras()
+	_, err := e.Observe("1")
+	require.NoError(t, err)
+	for range 3 {
+		_, err = e.Observe("99")
+		require.ErrorIs(t, err, ErrEraUnconfirmed)
+		_, err = e.Observe("1")
+		require.NoError(t, err)
+	}
+	_, err = e.Observe("2")
+	require.NoError(t, err)
+}
