Let a host without tables ask a host again whose transfer has just failed

What callers would see: 503 for 5 s or more from a host that starts while the store is away, after one failed transfer from the only host that has a copy.

Cause: after a failed transfer a host is not asked for 5 s, which doubles up to 40 s, also if nobody else has a copy.

Evidence: TestStartWhileStoreIsAwayAfterAFailedTransfer; before, tables were in force after 5.2 s (bound 2.5 s).

--- a/pkg/steer/copies_test.go
+++ b/pkg/steer/copies_test.go
@@ -5,9 +5,13 @@
 	"encoding/json"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,3 +136,34 @@
 	putTable(source, 4)
 	require.Eventually(t, inForce(4), waitTimeout, 5*time.Millisecond)
 }
+
+// Guards against a host that starts while the store is away and answers 503 for 5 s or more,
+// because one transfer from the only host with a copy failed.
+func TestStartWhileStoreIsAwayAfterAFailedTransfer(t *testing.T) {
+	source := newSource()
+	putTable(source, 3)
+	var resets atomic.Int32
+	var target atomic.Value
+	proxy := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if resets.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: target.Load().(string)}).ServeHTTP(w, r)
+	})}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = proxy.Serve(listener) }()
+	t.Cleanup(func() { _ = proxy.Close() })
+	first := startHostWith(t, source, "h1", "a-1", io.Discard, func(s *Settings) {
+		target.Store(s.Listen.Control)
+		s.Advertise.Control = listener.Addr().String()
+	})
+	require.Eventually(t, func() bool { return first.Dump().TableVersion == 3 }, waitTimeout, 5*time.Millisecond)
+	cut := &cutSource{source, make(chan struct{})}
+	close(cut.cut)
+	began := time.Now()
+	second := startHost(t, cut, "h2", "a-1")
+	require.Eventually(t, func() bool { return second.Dump().TableVersion == 3 }, waitTimeout, 5*time.Millisecond)
+	require.Positive(t, resets.Load())
+	require.Less(t, time.Since(began), 2500*time.Millisecond)
+}
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -343,15 +343,17 @@
 // furthestAhead returns the host of the group whose copy of the store is the
 // furthest ahead of this host's positions, or "" if none is ahead. A later era goes
 // before any lead in revisions. If this host has no tables yet, hosts of other regions
-// are considered too. Hosts that are shutting down are considered because they still
-// serve their copies.
+// are considered too, and hosts from which a transfer has just failed if there is no
+// other. Hosts that are shutting down are considered because they still serve their copies.
 func (p *peers) furthestAhead(now time.Time, own [feed.NumKinds]feed.Position) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	best, bestLead := "", feed.Position{}
+	best, bestLead, bestFetchable := "", feed.Position{}, false
+	noTables := !own[feed.Tables].Known()
 	for name, s := range p.hosts {
-		otherRegion := s.host.Region != p.self.Region && !own[feed.Tables].Known()
-		if !p.group[name] && !otherRegion || !s.alive(now) || s.viaDigest || !s.fetchable(now) {
+		otherRegion := s.host.Region != p.self.Region && noTables
+		fetchable := s.fetchable(now)
+		if !p.group[name] && !otherRegion || !s.alive(now) || s.viaDigest || !fetchable && (bestFetchable || !noTables) {
 			continue
 		}
 		lead := feed.Position{} // sums over the kinds
@@ -365,8 +367,9 @@
 				lead.Revision += at.Revision - own[k].Revision
 			}
 		}
-		if bestLead.Before(lead) || lead == bestLead && lead.Known() && name < best {
-			best, bestLead = name, lead
+		firstFetchable := fetchable && !bestFetchable && lead.Known()
+		if firstFetchable || bestLead.Before(lead) || lead == bestLead && lead.Known() && name < best {
+			best, bestLead, bestFetchable = name, lead, fetchable
 		}
 	}
 	return best
