--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -211,7 +211,7 @@
 			wg.Go(func() { s.evacuateAndRestore(domains[round/2%len(domains)], s.restoreRNG(2*round+2)) })
 		}
 		wg.Wait()
-		s.awaitSteadyState("after planned work")
+		s.awaitSteadyState(recoverBound, "after planned work")
 	}
 }
 
--- a/test/soak/shutdown_test.go
+++ b/test/soak/shutdown_test.go
@@ -102,7 +102,7 @@
 	for round := range rounds {
 		t.Run(fmt.Sprint(round), func(t *testing.T) {
 			s := newSoak(t, 1, 2, 4)
-			s.awaitSteadyState("at the start")
+			s.awaitSteadyState(waitTimeout, "at the start")
 			h := s.hosts[0]
 			kept := openConns(t, h, conns)
 			stopThrottle := throttle(h, 40*time.Millisecond)
@@ -135,7 +135,7 @@
 	for round := range intFromEnv(t, "SHUTDOWN_ROUNDS", 1) {
 		t.Run(fmt.Sprint(round), func(t *testing.T) {
 			s := newSoak(t, 1, 1, 32)
-			s.awaitSteadyState("at the start")
+			s.awaitSteadyState(waitTimeout, "at the start")
 			h := s.hosts[0]
 			for _, b := range s.backends {
 				b.server.Load().SetFaults(standin.ServerFaults{Delay: waitTimeout})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -202,7 +202,7 @@
 // run injects faults or planned work while callers send requests, then waits for
 // recovery and checks the recorded requests.
 func (s *soak) run(duration time.Duration) {
-	s.awaitSteadyState("at the start")
+	s.awaitSteadyState(waitTimeout, "at the start")
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for i := range max(12, len(s.hosts)) {
@@ -219,7 +219,7 @@
 		s.injectFaults(duration)
 	}
 	restores.Wait()
-	s.awaitSteadyState("after the faults or planned work")
+	s.awaitSteadyState(recoverBound, "after the faults or planned work")
 	cancel()
 	callers.Wait()
 	s.recorder.checkRuns()
@@ -268,12 +268,16 @@
 // before the system counts as being in a steady state.
 const minConsecutiveServed = 20
 
+// recoverBound is the platform's bound for the time after faults until requests are
+// served again.
+const recoverBound = 15 * time.Second
+
 // awaitSteadyState waits until every host is ready with the latest tables and
-// requests through all hosts succeed.
-func (s *soak) awaitSteadyState(phase string) {
-	s.awaitTables(waitTimeout, phase)
+// requests through all hosts succeed, and reports a violation if that takes too long.
+func (s *soak) awaitSteadyState(limit time.Duration, phase string) {
+	s.awaitTables(limit, phase)
 	served := 0
-	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline) && served < minConsecutiveServed; {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && served < minConsecutiveServed; {
 		answer, err := s.sendRequest(http.DefaultTransport, s.hosts[served%len(s.hosts)], false, fmt.Sprintf("settle-%d", time.Now().UnixNano()))
 		if err == nil && answer.Status == http.StatusOK {
 			served++
@@ -283,6 +287,6 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	if served < minConsecutiveServed {
-		s.recorder.addViolation("%s: too few consecutive requests succeeded before the timeout", phase)
+		s.recorder.addViolation("%s: too few consecutive requests succeeded within %s", phase, limit)
 	}
 }
