End a held evacuation after 10 s, also if the store comes back again

What callers would see: 503 for 29 s after the store has come back from an older copy, if the failure domains that have servers were evacuated before and are not any more.

Cause: an evacuation that the copy lacks was held for 30 s, and anew at each further return. The end of an evacuation that the store has lost is a DELETE that meets nothing and that no host sees.

Change: 10 s, counted from the first return. The operator writes again within seconds; what he has written again between two returns is held anew.

TestRestoredStoreEvacuationsOfManyReturns.

--- a/pkg/core/restore/restore.go
+++ b/pkg/core/restore/restore.go
@@ -33,9 +33,9 @@
 	// heartbeats of 1.5 s; one that is still listed later is alive.
 	goneHold = 15 * time.Second
 	// evacuationHold is how long an evacuation stays in force that the copy lacks and
-	// that the operator does not write again. It is longer than the platform's bounds
-	// for a change to be in force.
-	evacuationHold = 30 * time.Second
+	// that the operator does not write again. He writes again within seconds; the end of
+	// an evacuation that the store has lost changes nothing there.
+	evacuationHold = 10 * time.Second
 )
 
 // Server is what is known of a server from before the store came back.
@@ -190,11 +190,12 @@
 }
 
 // EvacuationsRestored takes the first list of evacuated failure domains since the store
-// came back, and those that were evacuated before, as Evacuated returned them.
+// came back, and those that were evacuated before, as Evacuated returned them. A further
+// return does not prolong a hold, so that one of which nobody writes ends.
 func (h *Holds) EvacuationsRestored(now time.Time, before, listed []string) {
 	clear(h.settled)
 	for _, domain := range before {
-		if !slices.Contains(listed, domain) {
+		if _, held := h.evacuated[domain]; !held && !slices.Contains(listed, domain) {
 			h.evacuated[domain] = now.Add(evacuationHold)
 		}
 	}
--- a/pkg/core/restore/restore_test.go
+++ b/pkg/core/restore/restore_test.go
@@ -150,6 +150,27 @@
 	require.Equal(t, []string{"c"}, h.Evacuated(start, []string{"c"}), "one that had ended holds if the copy says so")
 }
 
+// Guards against an evacuation that was ended, and that is held for ever because the store
+// comes back again and again; and against one that is no longer held although it was
+// written again between two returns.
+func TestRestoredStoreEvacuationsOfManyReturns(t *testing.T) {
+	h := New()
+	now := start
+	h.EvacuationsRestored(now, []string{"a"}, nil)
+	for now.Before(start.Add(evacuationHold)) {
+		require.Equal(t, []string{"a"}, h.Evacuated(now, nil))
+		now = now.Add(3 * time.Second)
+		h.EvacuationsRestored(now, h.Evacuated(now, nil), nil)
+	}
+	require.Empty(t, h.Evacuated(now, nil))
+
+	h.EvacuationsRestored(now, []string{"a"}, nil)
+	now = now.Add(9 * time.Second)
+	h.Evacuated(now, []string{"a"}) // written again
+	h.EvacuationsRestored(now, []string{"a"}, nil)
+	require.Equal(t, []string{"a"}, h.Evacuated(now.Add(9*time.Second), nil))
+}
+
 // Guards against knowledge that is lost when the store comes back a second time within
 // moments, from a copy of before the first return.
 func TestRestoredStoreTwice(t *testing.T) {
@@ -157,7 +178,7 @@
 	h := New()
 	h.ServersRestored(start, []fleet.Server{draining(drains)}, []fleet.Server{left}, listed(3, drains, left))
 	h.EvacuationsRestored(start, []string{"d"}, nil)
-	again := start.Add(10 * time.Second)
+	again := start.Add(5 * time.Second)
 	before := h.Servers(again, listed(3, drains, left))
 	h.ServersRestored(again, before, nil, listed(2, drains, left))
 	h.EvacuationsRestored(again, h.Evacuated(again, nil), nil)
@@ -165,7 +186,8 @@
 	got := h.Servers(now, listed(2, drains, left))
 	require.Len(t, got, 1)
 	require.True(t, got[0].Draining)
-	require.Equal(t, []string{"d"}, h.Evacuated(now, nil))
+	require.Equal(t, []string{"d"}, h.Evacuated(start.Add(evacuationHold-time.Second), nil))
+	require.Empty(t, h.Evacuated(start.Add(evacuationHold), nil), "not written again between the returns")
 	require.True(t, h.Expire(again.Add(2*time.Minute)))
 	require.Zero(t, h.Count())
 	require.Nil(t, h.Memory(again))
--- a/test/soak/restored_store_test.go
+++ b/test/soak/restored_store_test.go
@@ -187,7 +187,7 @@
 	for range drillHosts {
 		d.addHost()
 	}
-	d.awaitSteadyState("at the start")
+	d.awaitSteadyState(waitTimeout, "at the start")
 	require.Empty(d.t, d.recorder.violations)
 	require.Eventually(d.t, func() bool {
 		for n := range d.hosts {
@@ -756,7 +756,7 @@
 			for range 2 {
 				d.addHost()
 			}
-			d.awaitSteadyState("at the start")
+			d.awaitSteadyState(waitTimeout, "at the start")
 			_, stop := d.startAllTraffic()
 			before := time.Now()
 			time.Sleep(500 * time.Millisecond)
