--- a/pkg/core/feed/role.go
+++ b/pkg/core/feed/role.go
@@ -91,7 +91,8 @@
 // group. The hosts are ranked by rendezvous hashing, those with a large capacity
 // first. The first watcher in this ranking whose copy is up to date is followed;
 // a host that watches already only gives way to one with a lower rank. A watcher whose
-// copy is of an earlier era than that of self is not followed. If no copy is up to date, the hosts take over one after another in the order of the ranks.
+// copy is of an earlier era than that of self is not followed. If no copy is up to date,
+// the hosts take over one after another in the order of the ranks.
 func ChooseRole(self HostState, others []HostState) Role {
 	freshWatcher := map[string]bool{}
 	for _, c := range others {
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -80,6 +80,9 @@
 	r.down, r.outageEnd = false, now.Add(-sinceReturn)
 }
 
+// OutageEnd returns the end of the store's last outage, as far as this host knows.
+func (r *Registry) OutageEnd() time.Time { return r.outageEnd }
+
 // Restored records that the store has come back from an older copy. Servers that the
 // copy lacks are kept for as long as after an outage.
 func (r *Registry) Restored(now time.Time) { r.down, r.outageEnd = false, now }
--- a/pkg/core/restore/restore.go
+++ b/pkg/core/restore/restore.go
@@ -29,9 +29,9 @@
 	// that does not say again that it drains. Servers end before that.
 	drainingHold = time.Minute
 	// goneHold is how long a server stays away that had left and that the copy shows
-	// again. The store removes the entry of a server that does not write for three
-	// heartbeats of 1.5 s; one that is still listed later is alive.
-	goneHold = 15 * time.Second
+	// again. The store removes the entry of a server that is silent for three heartbeats,
+	// about 5 s; one that is still listed later is alive.
+	goneHold = 8 * time.Second
 	// evacuationHold is how long an evacuation stays in force that the copy lacks and
 	// that the operator does not write again. He writes again within seconds; the end of
 	// an evacuation that the store has lost changes nothing there.
@@ -56,8 +56,8 @@
 	Revision int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// Memory is what a host knows from before the store came back, as sent to other hosts.
-type Memory struct {
+// HeldState is what a host knows from before the store came back, as sent to other hosts.
+type HeldState struct {
 	Servers map[string]Server `cbor:"1,keyasint,omitempty"` // by ID
 	// Evacuated maps failure domains to how much longer they stay evacuated, in
 	// milliseconds.
@@ -82,21 +82,21 @@
 type Holds struct {
 	servers   map[string]heldServer
 	evacuated map[string]time.Time // until when
-	// settled are the failure domains of which the operator has written something since
-	// the store came back.
-	settled map[string]bool
+	// era is that of the list of evacuations, and writtenIn the era in which the operator
+	// has last written something of a failure domain since the store came back.
+	era       int64
+	writtenIn map[string]int64
 }
 
 // New returns empty holds.
 func New() *Holds {
-	return &Holds{servers: map[string]heldServer{}, evacuated: map[string]time.Time{}, settled: map[string]bool{}}
+	return &Holds{servers: map[string]heldServer{}, evacuated: map[string]time.Time{}, writtenIn: map[string]int64{}}
 }
 
 // ServersRestored takes the first list of servers since the store came back, besides
 // the servers that were listed before, as Servers returned them, and those that had
 // been removed.
 func (h *Holds) ServersRestored(now time.Time, before, removed []fleet.Server, listed []Listed) {
-	clear(h.settled) // the list of evacuations may come later
 	known := make(map[string]fleet.Server, len(before))
 	byAddress := make(map[string]fleet.Server, len(before))
 	for _, s := range before {
@@ -127,32 +127,17 @@
 		case replaced && s.StartedMS < successor.StartedMS: // another server has its address
 			held.gone = true
 		}
-		// The store may have come back before, moments ago.
-		if earlier, ok := h.servers[s.ID]; ok && s.StartedMS <= earlier.startedMS {
-			held.gone = held.gone || earlier.gone || s.StartedMS < earlier.startedMS
-			held.draining = held.draining || earlier.draining
-			held.coldUntil = later(held.coldUntil, earlier.coldUntil)
-		}
-		switch {
-		case held.draining:
-			held.until = now.Add(drainingHold)
-		case held.gone:
-			held.until = now.Add(goneHold)
-		}
-		delete(h.servers, s.ID)
-		if held.gone || held.draining || held.coldUntil.After(now) {
-			h.servers[s.ID] = held
-		}
+		h.holdListed(now, s.ID, held)
 	}
 	// A server that this copy lacks may be in the next one.
 	for _, s := range before {
 		if !seen[s.ID] {
-			h.holdUnlisted(now, s, false)
+			h.holdMissing(now, s, false)
 		}
 	}
 	for id, s := range left {
 		if _, wasListed := known[id]; !seen[id] && !wasListed {
-			h.holdUnlisted(now, s, true)
+			h.holdMissing(now, s, true)
 		}
 	}
 	for id, held := range h.servers {
@@ -163,6 +148,29 @@
 	}
 }
 
+// holdListed holds what is known of a server that the store lists, besides what is held
+// since an earlier return of the store.
+func (h *Holds) holdListed(now time.Time, id string, held heldServer) {
+	if earlier, ok := h.servers[id]; ok && held.startedMS <= earlier.startedMS {
+		held.gone = held.gone || earlier.gone || held.startedMS < earlier.startedMS
+		held.draining = held.draining || earlier.draining
+		held.coldUntil = later(held.coldUntil, earlier.coldUntil)
+	}
+	switch {
+	case held.draining:
+		held.until = now.Add(drainingHold)
+	case held.gone:
+		held.until = now.Add(goneHold)
+	}
+	if !held.coldUntil.After(now) {
+		held.coldUntil = time.Time{}
+	}
+	delete(h.servers, id)
+	if held.restricts() {
+		h.servers[id] = held
+	}
+}
+
 // ColdUntil returns until when a server is cold according to its entry in the first list
 // since the store came back, if before is what was known of it. An entry that says what
 // was known already speaks of the same time, although it is read anew.
@@ -173,13 +181,16 @@
 	return listed.ColdUntil
 }
 
-// holdUnlisted holds what is known of a server that the store no longer lists.
-func (h *Holds) holdUnlisted(now time.Time, s fleet.Server, gone bool) {
+// holdMissing holds what is known of a server that the store no longer lists.
+func (h *Holds) holdMissing(now time.Time, s fleet.Server, gone bool) {
 	earlier, ok := h.servers[s.ID]
 	if ok && earlier.startedMS > s.StartedMS {
 		return
 	}
-	held := heldServer{startedMS: s.StartedMS, gone: gone, draining: s.Draining, coldUntil: s.ColdUntil, until: now.Add(goneHold)}
+	held := heldServer{startedMS: s.StartedMS, gone: gone, draining: s.Draining, until: now.Add(goneHold)}
+	if s.ColdUntil.After(now) {
+		held.coldUntil = s.ColdUntil
+	}
 	if ok && earlier.startedMS == s.StartedMS {
 		held.draining = held.draining || earlier.draining
 	}
@@ -192,8 +203,9 @@
 // EvacuationsRestored takes the first list of evacuated failure domains since the store
 // came back, and those that were evacuated before, as Evacuated returned them. A further
 // return does not prolong a hold, so that one of which nobody writes ends.
-func (h *Holds) EvacuationsRestored(now time.Time, before, listed []string) {
-	clear(h.settled)
+func (h *Holds) EvacuationsRestored(now time.Time, era int64, before, listed []string) {
+	h.era = era
+	clear(h.writtenIn)
 	for _, domain := range before {
 		if _, held := h.evacuated[domain]; !held && !slices.Contains(listed, domain) {
 			h.evacuated[domain] = now.Add(evacuationHold)
@@ -206,7 +218,9 @@
 func (h *Holds) EvacuationEnded(domain string) bool {
 	_, held := h.evacuated[domain]
 	delete(h.evacuated, domain)
-	h.settled[domain] = true
+	if h.era > 0 && len(h.writtenIn) < maxDomains {
+		h.writtenIn[domain] = h.era
+	}
 	return held
 }
 
@@ -249,9 +263,8 @@
 	for domain, until := range h.evacuated {
 		switch {
 		case slices.Contains(listed, domain):
-			// The operator has written it again, and what he does from now on holds.
-			h.settled[domain] = true
-			delete(h.evacuated, domain)
+			// Written again: later changes by the operator apply at once.
+			h.EvacuationEnded(domain)
 		case !until.After(now):
 			delete(h.evacuated, domain)
 		}
@@ -267,18 +280,31 @@
 	return len(h.servers)+len(h.evacuated) != before
 }
 
-// Count returns the number of servers and failure domains of which something is held.
-func (h *Holds) Count() int { return len(h.servers) + len(h.evacuated) }
+// Count returns the number of servers and failure domains that get no or fewer requests
+// because of what is held.
+func (h *Holds) Count() int {
+	n := len(h.evacuated)
+	for _, s := range h.servers {
+		if s.restricts() {
+			n++
+		}
+	}
+	return n
+}
 
-// Memory returns what is held, for hosts that have just started or that learned later
-// of the store's return.
-func (h *Holds) Memory(now time.Time) *Memory {
+// restricts reports whether the server gets no or fewer requests. One that the copy lacks is
+// held, too, because a further copy may show an earlier process of it.
+func (s heldServer) restricts() bool { return s.gone || s.draining || !s.coldUntil.IsZero() }
+
+// State returns what is held, for hosts that have just started or that learned later of
+// the store's return, or nil.
+func (h *Holds) State(now time.Time) *HeldState {
 	if h.Count() == 0 {
 		return nil
 	}
-	m := &Memory{Servers: map[string]Server{}, Evacuated: map[string]int64{}}
+	m := &HeldState{Servers: map[string]Server{}, Evacuated: map[string]int64{}}
 	for id, s := range h.servers {
-		if !s.gone && !s.draining && !s.coldUntil.After(now) {
+		if !s.restricts() {
 			continue
 		}
 		m.Servers[id] = Server{
@@ -292,30 +318,39 @@
 	return m
 }
 
-// Adopt adds what another host with a copy of the same era knows, and reports whether
+// Adopt adds what another host knows, whose copy is of the given era, and reports whether
 // something was added.
-func (h *Holds) Adopt(now time.Time, m *Memory) bool {
+func (h *Holds) Adopt(now time.Time, era int64, m *HeldState) bool {
 	if m == nil {
 		return false
 	}
 	added := false
 	for id, s := range m.Servers {
 		own, ok := h.servers[id]
-		if ok && (own.startedMS > s.StartedMS || own.startedMS == s.StartedMS && (own.gone || !s.Gone) && (own.draining || !s.Draining)) {
+		coldUntil := own.coldUntil
+		if s.ColdMS > 0 {
+			coldUntil = later(coldUntil, now.Add(milliseconds(s.ColdMS, maxCold)))
+		}
+		if ok && own.startedMS > s.StartedMS {
 			continue
 		}
-		adopted := heldServer{startedMS: s.StartedMS, gone: s.Gone, draining: s.Draining, revision: s.Revision, coldUntil: own.coldUntil}
+		if ok && own.startedMS == s.StartedMS && (own.gone || !s.Gone) && (own.draining || !s.Draining) {
+			// The clocks of two hosts give times that differ a little.
+			if coldUntil.Sub(own.coldUntil) > coldTolerance {
+				own.coldUntil = coldUntil
+				h.servers[id], added = own, true
+			}
+			continue
+		}
+		adopted := heldServer{startedMS: s.StartedMS, gone: s.Gone, draining: s.Draining, revision: s.Revision, coldUntil: coldUntil}
 		if s.Gone || s.Draining {
 			adopted.until = now.Add(milliseconds(s.ForMS, drainingHold))
 		}
-		if s.ColdMS > 0 {
-			adopted.coldUntil = later(own.coldUntil, now.Add(milliseconds(s.ColdMS, maxCold)))
-		}
 		h.servers[id] = adopted
 		added = true
 	}
 	for domain, ms := range m.Evacuated {
-		if _, ok := h.evacuated[domain]; !ok && !h.settled[domain] {
+		if _, ok := h.evacuated[domain]; !ok && (h.writtenIn[domain] == 0 || h.writtenIn[domain] != era) {
 			h.evacuated[domain] = now.Add(milliseconds(ms, evacuationHold))
 			added = true
 		}
@@ -323,8 +358,15 @@
 	return added
 }
 
-// maxCold bounds how long another host may say that a server stays cold.
-const maxCold = 10 * time.Minute
+const (
+	// maxCold bounds how long another host may say that a server stays cold.
+	maxCold = 10 * time.Minute
+	// coldTolerance is the least time by which another host's knowledge of a cold server
+	// is longer than one's own to be worth taking.
+	coldTolerance = 100 * time.Millisecond
+	// maxDomains bounds the failure domains of which is known when the operator wrote.
+	maxDomains = 4096
+)
 
 // milliseconds returns a duration that another host has sent, at most limit.
 func milliseconds(ms int64, limit time.Duration) time.Duration {
--- a/pkg/core/restore/restore_test.go
+++ b/pkg/core/restore/restore_test.go
@@ -135,15 +135,15 @@
 // its evacuation; and against an evacuation that was ended and stays for ever.
 func TestRestoredStoreEvacuations(t *testing.T) {
 	h := New()
-	h.EvacuationsRestored(start, []string{"a", "b"}, []string{"b"})
+	h.EvacuationsRestored(start, 2, []string{"a", "b"}, []string{"b"})
 	require.ElementsMatch(t, []string{"a", "b"}, h.Evacuated(start.Add(evacuationHold-time.Second), []string{"b"}))
 	require.ElementsMatch(t, []string{"b"}, h.Evacuated(start.Add(evacuationHold), []string{"b"}))
 
 	h = New()
-	h.EvacuationsRestored(start, []string{"a"}, nil)
+	h.EvacuationsRestored(start, 2, []string{"a"}, nil)
 	h.Evacuated(start.Add(time.Second), []string{"a"})
 	require.Empty(t, h.Evacuated(start.Add(2*time.Second), nil), "written again and then ended")
-	h.EvacuationsRestored(start, []string{"a"}, nil)
+	h.EvacuationsRestored(start, 2, []string{"a"}, nil)
 	require.True(t, h.EvacuationEnded("a"), "written again and ended before this host saw it")
 	require.False(t, h.EvacuationEnded("a"))
 	require.Empty(t, h.Evacuated(start, nil))
@@ -156,18 +156,18 @@
 func TestRestoredStoreEvacuationsOfManyReturns(t *testing.T) {
 	h := New()
 	now := start
-	h.EvacuationsRestored(now, []string{"a"}, nil)
+	h.EvacuationsRestored(now, 2, []string{"a"}, nil)
 	for now.Before(start.Add(evacuationHold)) {
 		require.Equal(t, []string{"a"}, h.Evacuated(now, nil))
 		now = now.Add(3 * time.Second)
-		h.EvacuationsRestored(now, h.Evacuated(now, nil), nil)
+		h.EvacuationsRestored(now, 2, h.Evacuated(now, nil), nil)
 	}
 	require.Empty(t, h.Evacuated(now, nil))
 
-	h.EvacuationsRestored(now, []string{"a"}, nil)
+	h.EvacuationsRestored(now, 2, []string{"a"}, nil)
 	now = now.Add(9 * time.Second)
 	h.Evacuated(now, []string{"a"}) // written again
-	h.EvacuationsRestored(now, []string{"a"}, nil)
+	h.EvacuationsRestored(now, 2, []string{"a"}, nil)
 	require.Equal(t, []string{"a"}, h.Evacuated(now.Add(9*time.Second), nil))
 }
 
@@ -177,11 +177,11 @@
 	drains, left := process("a", 5), process("b", 5)
 	h := New()
 	h.ServersRestored(start, []fleet.Server{draining(drains)}, []fleet.Server{left}, listed(3, drains, left))
-	h.EvacuationsRestored(start, []string{"d"}, nil)
+	h.EvacuationsRestored(start, 2, []string{"d"}, nil)
 	again := start.Add(5 * time.Second)
 	before := h.Servers(again, listed(3, drains, left))
 	h.ServersRestored(again, before, nil, listed(2, drains, left))
-	h.EvacuationsRestored(again, h.Evacuated(again, nil), nil)
+	h.EvacuationsRestored(again, 2, h.Evacuated(again, nil), nil)
 	now := again.Add(goneHold - time.Second)
 	got := h.Servers(now, listed(2, drains, left))
 	require.Len(t, got, 1)
@@ -190,7 +190,7 @@
 	require.Empty(t, h.Evacuated(start.Add(evacuationHold), nil), "not written again between the returns")
 	require.True(t, h.Expire(again.Add(2*time.Minute)))
 	require.Zero(t, h.Count())
-	require.Nil(t, h.Memory(again))
+	require.Nil(t, h.State(again))
 
 	// The first copy lacks the server that left, the second one has it.
 	h = New()
@@ -208,18 +208,18 @@
 	coldBefore.ColdUntil = start.Add(5 * time.Second)
 	known, starting := New(), New()
 	known.ServersRestored(start, []fleet.Server{draining(drains), coldBefore}, []fleet.Server{left}, listed(3, drains, left, cold))
-	known.EvacuationsRestored(start, []string{"d"}, nil)
+	known.EvacuationsRestored(start, 2, []string{"d"}, nil)
 	now := start.Add(time.Second)
-	require.True(t, starting.Adopt(now, known.Memory(now)))
-	require.False(t, starting.Adopt(now, known.Memory(now)), "nothing is new")
+	require.True(t, starting.Adopt(now, 2, known.State(now)))
+	require.False(t, starting.Adopt(now, 2, known.State(now)), "nothing is new")
 	require.Equal(t, known.Servers(now, listed(3, drains, left, cold)), starting.Servers(now, listed(3, drains, left, cold)))
 	require.Equal(t, []string{"d"}, starting.Evacuated(now, nil))
 	require.Equal(t, known.Count(), starting.Count())
-	require.False(t, starting.Adopt(now, nil))
+	require.False(t, starting.Adopt(now, 2, nil))
 
 	// What another host says cannot hold longer than what a host knows itself.
-	odd := &Memory{Servers: map[string]Server{"x": {Gone: true, StartedMS: 5, ForMS: 1 << 60}, "y": {Draining: true, ForMS: -1 << 60}}, Evacuated: map[string]int64{"e": 1 << 60}}
-	require.True(t, starting.Adopt(now, odd))
+	odd := &HeldState{Servers: map[string]Server{"x": {Gone: true, StartedMS: 5, ForMS: 1 << 60}, "y": {Draining: true, ForMS: -1 << 60}}, Evacuated: map[string]int64{"e": 1 << 60}}
+	require.True(t, starting.Adopt(now, 2, odd))
 	starting.Expire(now.Add(drainingHold))
 	require.Zero(t, starting.Count())
 }
@@ -229,7 +229,7 @@
 	s := process("a", 5)
 	h := New()
 	h.ServersRestored(start, []fleet.Server{s}, nil, listed(3, s, process("new", 7)))
-	h.EvacuationsRestored(start, []string{"d"}, []string{"d"})
+	h.EvacuationsRestored(start, 2, []string{"d"}, []string{"d"})
 	require.Zero(t, h.Count())
 	require.Len(t, h.Servers(start, listed(3, s, process("new", 7))), 2)
 }
@@ -260,14 +260,25 @@
 // that is held again, because another host does not know of the end yet.
 func TestRestoredStoreEndedEvacuationIsNotHeldAgain(t *testing.T) {
 	behind := New()
-	behind.EvacuationsRestored(start, []string{"a", "b"}, nil)
+	behind.EvacuationsRestored(start, 2, []string{"a", "b"}, nil)
 	h := New()
-	h.EvacuationsRestored(start, []string{"a", "b"}, nil)
+	h.EvacuationsRestored(start, 2, []string{"a", "b"}, nil)
 	h.EvacuationEnded("a")
 	h.Evacuated(start, []string{"b"}) // written again
-	require.False(t, h.Adopt(start, behind.Memory(start)))
+	require.False(t, h.Adopt(start, 2, behind.State(start)))
 	require.Empty(t, h.Evacuated(start, nil))
 
-	h.EvacuationsRestored(start, []string{"a"}, nil)
+	h.EvacuationsRestored(start, 2, []string{"a"}, nil)
 	require.Equal(t, []string{"a"}, h.Evacuated(start, nil), "the store has come back again")
 }
+
+// Guards against an evacuation that comes back after the operator has ended it, because the
+// list of servers came later than that of the evacuations.
+func TestRestoredStoreServersListedAfterAnEvacuationEnded(t *testing.T) {
+	h := New()
+	h.EvacuationsRestored(start, 2, []string{"a-1"}, nil)
+	require.True(t, h.EvacuationEnded("a-1"))
+	h.ServersRestored(start, nil, nil, nil)
+	h.Adopt(start, 2, &HeldState{Evacuated: map[string]int64{"a-1": 20_000}})
+	require.Empty(t, h.Evacuated(start, nil))
+}
--- a/pkg/steer/copies.go
+++ b/pkg/steer/copies.go
@@ -14,14 +14,14 @@
 // Reasons for which a host did not take news of the store, besides those of
 // feed.Outcome.
 const (
-	notTakenCallFailed  = "call-failed"       // the store did not answer
-	notTakenFetchFailed = "fetch-failed"      // the peer did not answer
-	notTakenHistoryGone = "history-gone"      // the store no longer has the changes; a list follows
-	notTakenUnreadable  = "unreadable"        // the newest tables could not be decoded
-	notTakenVersion     = "version-not-above" // the tables have a lower version than those in force
-	notTakenEraMissing  = "era-missing"       // the answer of the store has no readable era
-	notTakenEraUnsure   = "era-unconfirmed"   // the answer of the store is the first one of a far era
-	notTakenEraPassed   = "older-era"         // the answer of the store belongs to an earlier era
+	notTakenCallFailed     = "call-failed"       // the store did not answer
+	notTakenFetchFailed    = "fetch-failed"      // the peer did not answer
+	notTakenHistoryGone    = "history-gone"      // the store no longer has the changes; a list follows
+	notTakenUnreadable     = "unreadable"        // the newest tables could not be decoded
+	notTakenVersion        = "version-not-above" // the tables have a lower version than those in force
+	notTakenEraMissing     = "era-missing"       // the answer of the store has no readable era
+	notTakenEraUnconfirmed = "era-unconfirmed"   // the answer of the store is the first one of a far era
+	notTakenEraPassed      = "older-era"         // the answer of the store belongs to an earlier era
 )
 
 // sourceStore names the store as the source of a copy; other sources are the names of
--- a/pkg/steer/copies_test.go
+++ b/pkg/steer/copies_test.go
@@ -167,3 +167,38 @@
 	require.Positive(t, resets.Load())
 	require.Less(t, time.Since(began), 2500*time.Millisecond)
 }
+
+// Guards against a host that the store turns away and that gets no news for 10 s and more
+// after its connections to the only host that it follows work again.
+func TestHostThatTheStoreTurnsAwayAfterFailedTransfers(t *testing.T) {
+	source := newSource()
+	putTable(source, 3)
+	var broken atomic.Bool
+	var target atomic.Value
+	proxy := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if broken.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: target.Load().(string)}).ServeHTTP(w, r)
+	})}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = proxy.Serve(listener) }()
+	t.Cleanup(func() { _ = proxy.Close() })
+	first := startHostWith(t, source, "h1", "a-1", io.Discard, func(s *Settings) {
+		target.Store(s.Listen.Control)
+		s.Advertise.Control = listener.Addr().String()
+	})
+	require.Eventually(t, func() bool { return first.Dump().TableVersion == 3 }, waitTimeout, 5*time.Millisecond)
+	cut := &cutSource{source, make(chan struct{})}
+	close(cut.cut)
+	second := startHost(t, cut, "h2", "a-1")
+	require.Eventually(t, func() bool { return second.Dump().TableVersion == 3 }, waitTimeout, 5*time.Millisecond)
+	broken.Store(true)
+	putTable(source, 4)
+	time.Sleep(6 * time.Second)
+	broken.Store(false)
+	healed := time.Now()
+	require.Eventually(t, func() bool { return second.Dump().TableVersion == 4 }, 60*time.Second, 5*time.Millisecond)
+	require.Less(t, time.Since(healed), 6500*time.Millisecond) // the stable window and the bound for a change
+}
--- a/pkg/steer/host.go
+++ b/pkg/steer/host.go
@@ -77,9 +77,11 @@
 	poolsMu sync.RWMutex // guards pools
 	pools   map[string]*pool
 
-	feeds    *storeFeeds
-	copies   copyHistory
-	copiesMu sync.Mutex // held while a copy changes and is put in force
+	feeds  *storeFeeds
+	copies copyHistory
+	// copiesMu is held while a copy changes and is put in force. It is locked before all
+	// other locks of the host, then feeds.mu, then registryMu.
+	copiesMu sync.Mutex
 	// tablesRefused is set while the newest tables have a lower version than those in
 	// force.
 	tablesRefused atomic.Bool
--- a/pkg/steer/peers.go
+++ b/pkg/steer/peers.go
@@ -34,6 +34,9 @@
 	// transfer; others take over meanwhile. It doubles up to maxFetchPauseDoublings times.
 	minFetchPause          = 5 * time.Second
 	maxFetchPauseDoublings = 3
+	// maxAgeWithoutFetch is the age of the copy from which on a host asks also those from
+	// which a transfer has just failed. The others have taken over before, if they can.
+	maxAgeWithoutFetch = 3 * time.Second
 	// maxUnpublished bounds the hosts that describe themselves in datagrams and are not in
 	// the list of published hosts. It is above the number of hosts that start together.
 	maxUnpublished = 1024
@@ -343,17 +346,19 @@
 // furthestAhead returns the host of the group whose copy of the store is the
 // furthest ahead of this host's positions, or "" if none is ahead. A later era goes
 // before any lead in revisions. If this host has no tables yet, hosts of other regions
-// are considered too, and hosts from which a transfer has just failed if there is no
-// other. Hosts that are shutting down are considered because they still serve their copies.
-func (p *peers) furthestAhead(now time.Time, own [feed.NumKinds]feed.Position) string {
+// are considered too. Hosts from which a transfer has just failed are considered if there
+// is no other, and this host has no tables or a copy that is old. Hosts that are shutting
+// down are considered because they still serve their copies.
+func (p *peers) furthestAhead(now time.Time, own [feed.NumKinds]feed.Position, age time.Duration) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	best, bestLead, bestFetchable := "", feed.Position{}, false
 	noTables := !own[feed.Tables].Known()
+	anyFetchable := noTables || age >= maxAgeWithoutFetch
 	for name, s := range p.hosts {
 		otherRegion := s.host.Region != p.self.Region && noTables
 		fetchable := s.fetchable(now)
-		if !p.group[name] && !otherRegion || !s.alive(now) || s.viaDigest || !fetchable && (bestFetchable || !noTables) {
+		if !p.group[name] && !otherRegion || !s.alive(now) || s.viaDigest || !fetchable && (bestFetchable || !anyFetchable) {
 			continue
 		}
 		lead := feed.Position{} // sums over the kinds
@@ -375,14 +380,15 @@
 	return best
 }
 
-// holding returns a live host of the group that knows something from before the store
-// came back from an older copy and whose copies are of the era or a later one, or "".
-func (p *peers) holding(now time.Time, era int64) string {
+// pickHolder returns a live host of the group that knows something from before the store
+// came back from an older copy, whose copies are of the era or a later one, and that is
+// not in asked; or "".
+func (p *peers) pickHolder(now time.Time, era int64, asked map[string]bool) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	first := ""
 	for name, s := range p.hosts {
-		if p.group[name] && s.held && s.alive(now) && !s.viaDigest && s.fetchable(now) && s.era() >= era && (first == "" || name < first) {
+		if p.group[name] && s.held && !asked[name] && s.alive(now) && !s.viaDigest && s.fetchable(now) && s.era() >= era && (first == "" || name < first) {
 			first = name
 		}
 	}
--- a/pkg/steer/publish.go
+++ b/pkg/steer/publish.go
@@ -27,7 +27,8 @@
 	unknownHostDelay = time.Second
 	// registerSpreadPerHost is multiplied by the number of known hosts: in so long a
 	// time all of them register again after the store has come back from an older copy.
-	// At two calls each, that is 200 calls per second.
+	// At two calls each, that is half of the writes
+	// that the smallest platform allows in a second.
 	registerSpreadPerHost = 10 * time.Millisecond
 )
 
--- a/pkg/steer/restored_test.go
+++ b/pkg/steer/restored_test.go
@@ -236,7 +236,7 @@
 	confirmed := h.feeds.replicas[feed.Servers].Confirmed()
 	require.Equal(t, feed.OlderEra, h.applyChanges(feed.Servers, "h2", list(1, 500, "b"), time.Now().Add(time.Minute)))
 	require.Equal(t, confirmed, h.feeds.replicas[feed.Servers].Confirmed())
-	require.True(t, h.feeds.ahead(&feedAnswer{Changes: [feed.NumKinds]*feed.Changes{feed.Servers: {Era: 1, Revision: 500}}}))
+	require.True(t, h.feeds.hasNewerServersThan(&feedAnswer{Changes: [feed.NumKinds]*feed.Changes{feed.Servers: {Era: 1, Revision: 500}}}))
 	require.Equal(t, "older-era", h.copyStatus(time.Now(), feed.Servers).NotTaken.Reason)
 
 	behind := &peerState{changePositions: [feed.NumKinds]feed.Position{feed.Servers: {Era: 1, Revision: 500}}}
@@ -267,7 +267,7 @@
 	restored := list(2, 80, 60)
 	address := peerThatAnswers(t, &feedAnswer{
 		Changes: [feed.NumKinds]*feed.Changes{feed.Servers: &restored},
-		Held:    &restore.Memory{Servers: map[string]restore.Server{"s": {StartedMS: 5, Gone: true, ForMS: 10_000, Revision: 60}}},
+		Held:    &restore.HeldState{Servers: map[string]restore.Server{"s": {StartedMS: 5, Gone: true, ForMS: 10_000, Revision: 60}}},
 	})
 	require.NoError(t, h.fetchChanges("h2", address, url.Values{}))
 	require.Equal(t, feed.Position{Era: 2, Revision: 80}, h.feeds.position(feed.Servers))
@@ -318,7 +318,7 @@
 	require.NoError(t, h.fetchChanges("started-after", peerThatAnswers(t, &answer), url.Values{}))
 
 	knowing := answer
-	knowing.Held = &restore.Memory{Servers: map[string]restore.Server{"s": {StartedMS: 5, Draining: true, ForMS: 10_000, Revision: 60}}}
+	knowing.Held = &restore.HeldState{Servers: map[string]restore.Server{"s": {StartedMS: 5, Draining: true, ForMS: 10_000, Revision: 60}}}
 	holder := fleet.EntryHost{
 		Name: "holder", Region: h.region, Domain: "a-1", Capacity: 1, StartedMS: 1,
 		PeerAddress: freeAddress(t), CallerAddress: freeAddress(t), ControlAddress: peerThatAnswers(t, &knowing),
@@ -409,10 +409,10 @@
 	for kind, c := range list(2) {
 		h.applyChanges(feed.Kind(kind), sourceStore, *c, time.Now())
 	}
-	late := &feedAnswer{Changes: list(1), Held: &restore.Memory{Evacuated: map[string]int64{"a-2": 10_000}}}
+	late := &feedAnswer{Changes: list(1), Held: &restore.HeldState{Evacuated: map[string]int64{"a-2": 10_000}}}
 	require.NoError(t, h.fetchChanges("h2", peerThatAnswers(t, late), url.Values{}))
 
-	knowing := &feedAnswer{Changes: list(2), Held: &restore.Memory{Servers: map[string]restore.Server{"s": {StartedMS: 5, Draining: true, ForMS: 10_000, Revision: 60}}}}
+	knowing := &feedAnswer{Changes: list(2), Held: &restore.HeldState{Servers: map[string]restore.Server{"s": {StartedMS: 5, Draining: true, ForMS: 10_000, Revision: 60}}}}
 	holder := fleet.EntryHost{
 		Name: "holder", Region: h.region, Domain: "a-1", Capacity: 1, StartedMS: 1,
 		PeerAddress: freeAddress(t), CallerAddress: freeAddress(t), ControlAddress: peerThatAnswers(t, knowing),
@@ -441,3 +441,53 @@
 	h := r.startHost(r.memorySource, "started-after")
 	require.Eventually(t, func() bool { return inForce(h) }, 3*time.Second, 5*time.Millisecond)
 }
+
+// Guards against a host that started after the store's return and believes its copy,
+// because the first host that holds something does not know of the draining server.
+func TestRestoredStoreFirstHolderKnowsLess(t *testing.T) {
+	h := newUnstartedHost(t)
+	h.tomb.Go(func() error { <-h.tomb.Dying(); return nil }) // so that transfers can start
+	t.Cleanup(func() { h.tomb.Kill(nil) })
+	list := feed.Changes{Era: 1, Revision: 80, Complete: true, Items: []feed.Item{{Name: "s", Revision: 60, Server: &fleet.Server{
+		ID: "s", Pool: "p", Address: "127.0.0.1:8", Domain: "a-1", Slots: 1, StartedMS: 5,
+	}}}}
+	answer := feedAnswer{Changes: [feed.NumKinds]*feed.Changes{
+		feed.Tables: {Era: 1, Revision: 80, Complete: true}, feed.Servers: &list, feed.Evacuations: {Era: 1, Revision: 80, Complete: true},
+	}}
+	// A host that only knows of a server that the copy lacks sends nothing.
+	knowsLess := answer
+	lacking := restore.New()
+	lacking.ServersRestored(time.Now(), []fleet.Server{{ID: "x", StartedMS: 1}}, nil, nil)
+	knowsLess.Held = lacking.State(time.Now())
+	knowing := answer
+	knowing.Held = &restore.HeldState{Servers: map[string]restore.Server{"s": {StartedMS: 5, Draining: true, ForMS: 10_000, Revision: 60}}}
+	for name, a := range map[string]*feedAnswer{"holder-a": &knowsLess, "holder-b": &knowing} {
+		holder := fleet.EntryHost{
+			Name: name, Region: h.region, Domain: "a-1", Capacity: 1, StartedMS: 1,
+			PeerAddress: freeAddress(t), CallerAddress: freeAddress(t), ControlAddress: peerThatAnswers(t, a),
+		}
+		_, err := h.peers.recordBeacon(time.Now(), holder.Name, holder.StartedMS, &beacon{Host: &holder, Held: 1, ChangeRevisions: [feed.NumKinds]int64{60, 60, 60}, Eras: []int64{1, 1, 1}})
+		require.NoError(t, err)
+		h.peers.group[holder.Name] = true
+	}
+	require.NoError(t, h.fetchChanges("started-after", peerThatAnswers(t, &answer), url.Values{}))
+	require.Eventually(t, func() bool {
+		h.fetchHolds(time.Now())
+		servers, _ := h.feeds.inForce(time.Now())
+		return len(servers) == 1 && servers[0].Draining
+	}, 1*time.Second, 10*time.Millisecond)
+}
+
+// Guards against a host that was cut off while the store returned and the operator ended an
+// evacuation, and that holds the evacuation for as long again from then on.
+func TestRestoredStoreHostBackLongAfter(t *testing.T) {
+	h := newUnstartedHost(t)
+	h.applyChanges(feed.Servers, sourceStore, feed.Changes{Era: 1, Revision: 131, Complete: true}, time.Now())
+	h.applyChanges(feed.Evacuations, sourceStore, feed.Changes{Era: 1, Revision: 131, Complete: true, Items: []feed.Item{{Name: "a-2", Revision: 100}}}, time.Now())
+	require.True(t, h.isEvacuated("a-2"))
+	answer := &feedAnswer{SinceOutageMS: time.Hour.Milliseconds(), Changes: [feed.NumKinds]*feed.Changes{
+		feed.Servers: {Era: 2, Revision: 160, Complete: true}, feed.Evacuations: {Era: 2, Revision: 160, Complete: true},
+	}}
+	require.NoError(t, h.fetchChanges("h2", peerThatAnswers(t, answer), url.Values{}))
+	require.False(t, h.isEvacuated("a-2"))
+}
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -1,25 +1,16 @@
 package steer
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"io"
-	"maps"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/feed"
 	"github.com/tamarackswitch/tamarackswitch/pkg/core/restore"
-	"github.com/tamarackswitch/tamarackswitch/pkg/fleet"
 	"github.com/tamarackswitch/tamarackswitch/pkg/httpanswer"
 	"github.com/tamarackswitch/tamarackswitch/pkg/wait"
 )
@@ -60,13 +51,16 @@
 	cancelWatches context.CancelFunc
 	// fetching is set while changes are transferred from another host.
 	fetching bool
-	// holds keeps what was known before the store came back from an older copy, and
-	// holdsEra is the era in which another host last said what it holds.
-	holds    *restore.Holds
-	holdsEra int64
+	// holds keeps what was known before the store came back from an older copy.
+	holds *restore.Holds
+	// holders are the hosts that were asked in holdersEra for what they hold, and
+	// heldStates is the number of those that held something.
+	holders    map[string]bool
+	holdersEra int64
+	heldStates int
 	// awaited is what another host holds in awaitedEra, which this host's copy of the
 	// servers has not reached. It is adopted together with the list.
-	awaited    *restore.Memory
+	awaited    *restore.HeldState
 	awaitedEra int64
 	client     *http.Client
 	started    time.Time
@@ -162,7 +156,7 @@
 	from := role.Follow
 	if from == "" {
 		// There is no host to follow, so a peer that is ahead has the best copy.
-		from = h.peers.furthestAhead(now, f.positions())
+		from = h.peers.furthestAhead(now, f.positions(), age)
 	}
 	if from != "" && h.fetchIfBehind(now, from) && role.Follow == "" {
 		h.log.fetchingFromPeer(from)
@@ -252,7 +246,7 @@
 	h.copiesMu.Lock()
 	defer h.copiesMu.Unlock()
 	before := h.feeds.position(kind)
-	outcome, watching := h.feeds.apply(kind, c, completeAt, h.lapsedServers)
+	outcome, watching := h.feeds.apply(kind, c, completeAt, h.returnedAt(source), h.lapsedServers)
 	if outcome == feed.Restored {
 		h.log.restored(kind, source, before, c.Position(), h.feeds.held())
 		select {
@@ -277,6 +271,21 @@
 	return outcome
 }
 
+// returnedAt returns when the store came back, as far as this host knows, if source sends
+// the first list since. A host that takes the list from another one has taken the time
+// since the store's return from there.
+func (h *Host) returnedAt(source string) time.Time {
+	if source == sourceStore {
+		return time.Now()
+	}
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
+	if end := h.registry.OutageEnd(); !end.IsZero() {
+		return end
+	}
+	return time.Now()
+}
+
 // lapsedServers returns the servers that the store does not list and that are kept
 // until they publish their entries again.
 func (h *Host) lapsedServers() map[string]bool {
@@ -285,178 +294,6 @@
 	return h.registry.Lapsed()
 }
 
-// apply applies changes to the replica of a kind. If they are the first list since the
-// store came back from an older copy, what was known before is held; lapsed lists the
-// servers without an entry that had not left. watching reports whether this host watches
-// the store.
-func (f *storeFeeds) apply(kind feed.Kind, c feed.Changes, completeAt time.Time, lapsed func() map[string]bool) (outcome feed.Outcome, watching bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now, replica := time.Now(), f.replicas[kind]
-	var servers, left []fleet.Server
-	var domains []string
-	if c.Era > replica.Position().Era {
-		servers, domains = f.serversLocked(now), f.evacuatedLocked(now)
-		for _, item := range c.Items {
-			if old := replica.Items()[item.Name].Server; old != nil && item.Server != nil {
-				item.Server.ColdUntil = restore.ColdUntil(*old, *item.Server)
-			}
-		}
-		lapsedNow := lapsed()
-		for _, item := range replica.Removed() {
-			if item.Server != nil && !lapsedNow[item.Name] {
-				left = append(left, *item.Server)
-			}
-		}
-	}
-	outcome = replica.Apply(c)
-	if outcome.Taken() {
-		replica.Confirm(completeAt)
-	}
-	if kind == feed.Evacuations && outcome.Taken() {
-		for _, item := range c.Items {
-			// The copy may never have had what was written again and then removed.
-			if item.Deleted && f.holds.EvacuationEnded(item.Name) {
-				outcome = max(outcome, feed.Changed)
-			}
-		}
-	}
-	if outcome == feed.Restored {
-		switch kind {
-		case feed.Servers:
-			f.holds.ServersRestored(now, servers, left, f.listedServers())
-			if f.awaitedEra == c.Era {
-				f.holds.Adopt(now, f.awaited)
-			}
-			f.awaited, f.awaitedEra = nil, 0
-		case feed.Evacuations:
-			f.holds.EvacuationsRestored(now, domains, f.listedDomains())
-		}
-	}
-	return outcome, f.role.Watch
-}
-
-// listedServers returns the servers of the copy.
-func (f *storeFeeds) listedServers() []restore.Listed {
-	items := f.replicas[feed.Servers].Items()
-	out := make([]restore.Listed, 0, len(items))
-	for _, item := range items {
-		if item.Server != nil {
-			out = append(out, restore.Listed{Server: *item.Server, Revision: item.Revision})
-		}
-	}
-	return out
-}
-
-// listedDomains returns the evacuated failure domains of the copy.
-func (f *storeFeeds) listedDomains() []string {
-	return slices.Collect(maps.Keys(f.replicas[feed.Evacuations].Items()))
-}
-
-// serversLocked and evacuatedLocked return what is in force: what the copy lists, and
-// what is held since the store came back from an older copy. The caller holds the lock.
-func (f *storeFeeds) serversLocked(now time.Time) []fleet.Server {
-	return f.holds.Servers(now, f.listedServers())
-}
-
-func (f *storeFeeds) evacuatedLocked(now time.Time) []string {
-	return f.holds.Evacuated(now, f.listedDomains())
-}
-
-// table returns the tables of the copy, or nil.
-func (f *storeFeeds) table() *fleet.Table {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t := f.tableLocked()
-	if t == nil {
-		return nil
-	}
-	own := *t // because applyTable indexes it
-	return &own
-}
-
-// tableLocked is table for callers that hold the lock and do not change the tables.
-func (f *storeFeeds) tableLocked() *fleet.Table {
-	for _, item := range f.replicas[feed.Tables].Items() {
-		if item.Table != nil {
-			return item.Table
-		}
-	}
-	return nil
-}
-
-// inForce returns the servers and the evacuated failure domains that are in force.
-func (f *storeFeeds) inForce(now time.Time) ([]fleet.Server, []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.serversLocked(now), f.evacuatedLocked(now)
-}
-
-// held returns the number of servers and failure domains of which something is held.
-func (f *storeFeeds) held() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.holds.Count()
-}
-
-// expireHolds drops what is held no longer and reports whether there was anything.
-func (f *storeFeeds) expireHolds(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.holds.Expire(now)
-}
-
-// adoptHolds adds what another host holds, if its copy is not of an earlier era, and
-// reports whether something was added. If that copy is of a later era, whose revisions
-// cannot be compared with those of this host's copy, it waits for the list.
-func (f *storeFeeds) adoptHolds(now time.Time, era int64, m *restore.Memory) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch at := f.replicas[feed.Servers].Position(); {
-	case era < at.Era:
-		return false
-	case at.Known() && era > at.Era:
-		f.awaited, f.awaitedEra = m, era
-		return false
-	}
-	return f.holds.Adopt(now, m)
-}
-
-// applyCopy puts the copy of a kind, which source sent, in force. restored is set if it
-// is the first since the store came back from an older copy.
-func (h *Host) applyCopy(kind feed.Kind, source string, restored bool) {
-	switch kind {
-	case feed.Tables:
-		t := h.feeds.table()
-		if t == nil {
-			return
-		}
-		inForce := h.applyTable(t)
-		h.tablesRefused.Store(!inForce)
-		if !inForce {
-			at := h.feeds.position(kind)
-			h.newsRefused(kind, notTaken{Source: source, Reason: notTakenVersion, Era: at.Era, Revision: at.Revision, Detail: fmt.Sprintf("version %d", t.Version)})
-		}
-	case feed.Servers:
-		servers, _ := h.feeds.inForce(time.Now())
-		// A host that took the list from another one has taken the time since the store's
-		// return from there, too.
-		h.applyServers(servers, restored && source == sourceStore)
-	case feed.Evacuations:
-		_, domains := h.feeds.inForce(time.Now())
-		h.applyEvacuated(domains)
-	}
-}
-
-// applyHolds puts a change of what is held in force.
-func (h *Host) applyHolds() {
-	h.copiesMu.Lock()
-	defer h.copiesMu.Unlock()
-	servers, domains := h.feeds.inForce(time.Now())
-	h.applyServers(servers, false)
-	h.applyEvacuated(domains)
-}
-
 // follows reports whether this host follows the given one.
 func (f *storeFeeds) follows(host string) bool {
 	f.mu.Lock()
@@ -486,299 +323,6 @@
 
 func (f *storeFeeds) position(kind feed.Kind) feed.Position { return f.positions()[kind] }
 
-// feedAnswer is the response to a follower that fetches changes.
-type feedAnswer struct {
-	// AgeMS is the age of the responding host's copy of the store.
-	AgeMS int64 `cbor:"1,keyasint"`
-	// Changes holds the changes by kind, nil for kinds without an answer.
-	Changes [feed.NumKinds]*feed.Changes `cbor:"2,keyasint"`
-	// SinceOutageMS is the time since the end of the last outage of the store, 0
-	// during one.
-	SinceOutageMS int64 `cbor:"3,keyasint"`
-	// Hosts are the known entry hosts of all regions. They are sent to followers
-	// without tables, which may have started during an outage of the store.
-	Hosts []fleet.EntryHost `cbor:"4,keyasint,omitempty"`
-	// Leaving holds the servers that said that they leave: their start times in Unix
-	// milliseconds, by server ID. They are sent to followers without servers, which
-	// have just started.
-	Leaving map[string]int64 `cbor:"5,keyasint,omitempty"`
-	// Held is what the responding host knows from before the store came back from an
-	// older copy.
-	Held *restore.Memory `cbor:"6,keyasint,omitempty"`
-	// Table is the version in force at the responding host, present if its copy of the
-	// store has an older one or none, and so does the follower.
-	Table *fleet.Table `cbor:"7,keyasint,omitempty"`
-}
-
-// eraKey returns the key of a follower's query that holds the era of its copy of a kind.
-// The kind itself is the key of the revision.
-func eraKey(kind feed.Kind) string { return kind.String() + "_era" }
-
-// versionKey is the key of a follower's query that holds its version of the tables.
-const versionKey = "version"
-
-// followerPosition returns the position of a follower's copy of a kind, and false if the
-// follower does not ask for the kind. Hosts of earlier versions send no eras.
-func followerPosition(query url.Values, kind feed.Kind) (feed.Position, bool) {
-	revision, err := strconv.ParseInt(query.Get(kind.String()), 10, 64)
-	if err != nil {
-		return feed.Position{}, false
-	}
-	era, err := strconv.ParseInt(query.Get(eraKey(kind)), 10, 64)
-	if err != nil {
-		era = 0
-	}
-	return feed.Position{Era: era, Revision: revision}, true
-}
-
-// serveFeed sends a follower the changes after the positions that it has. The query
-// holds a revision and an era for each kind that the follower asks for.
-func (h *Host) serveFeed(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	f := h.feeds
-	var answer feedAnswer
-	h.copiesMu.Lock() // a list of a new era goes with the time since it came
-	now := time.Now()
-	h.registryMu.Lock()
-	answer.SinceOutageMS = h.registry.SinceOutage(now).Milliseconds()
-	h.registryMu.Unlock()
-	f.mu.Lock()
-	answer.AgeMS = f.ageLocked(now).Milliseconds()
-	for kind := range feed.NumKinds {
-		after, asked := followerPosition(query, kind)
-		replica := f.replicas[kind]
-		if !asked || !replica.Position().Known() || after.Era > replica.Position().Era {
-			continue // this host has no copy, or one of an earlier era
-		}
-		if kind == feed.Tables && !after.Known() {
-			answer.Hosts = h.peers.all()
-		}
-		c := replica.Since(after)
-		for i, item := range c.Items {
-			if s := item.Server; s != nil && s.ColdFor > 0 {
-				remaining := *s
-				remaining.ColdFor = max(s.ColdUntil.Sub(now), 0)
-				c.Items[i].Server = &remaining
-			}
-		}
-		answer.Changes[kind] = &c
-	}
-	answer.Held = f.holds.Memory(now)
-	f.mu.Unlock()
-	h.copiesMu.Unlock()
-	answer.Table = h.tableAheadOfCopy(query.Get(versionKey))
-	if query.Get(feed.Servers.String()) == "0" {
-		answer.Leaving = map[string]int64{}
-		h.eachPool(func(p *pool) { p.addLeaving(answer.Leaving) })
-	}
-	raw, err := cbor.Marshal(&answer)
-	if err != nil {
-		h.log.warn(err, "could not encode the changes for a follower")
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(raw) // an error means that the follower disconnected
-}
-
-// tableAheadOfCopy returns the version in force if this host's copy of the store has an
-// older one or none and the follower, whose version is given, does, too; otherwise nil.
-func (h *Host) tableAheadOfCopy(followerVersion string) *fleet.Table {
-	t, inCopy := h.table.Load(), h.feeds.table()
-	version, err := strconv.ParseInt(followerVersion, 10, 64)
-	if err != nil || t == nil || inCopy != nil && inCopy.Version >= t.Version || version >= t.Version {
-		return nil
-	}
-	return t
-}
-
-// fetchHolds asks another host for what it knows from before the store came back, unless
-// one has said so in this era. A host that has just started and read the store itself does not know it.
-func (h *Host) fetchHolds(now time.Time) {
-	f := h.feeds
-	f.mu.Lock()
-	era := earliestEra(f.positionsLocked())
-	due := era > f.holdsEra && f.replicas[feed.Servers].Position().Known()
-	f.mu.Unlock()
-	if !due {
-		return
-	}
-	if from := h.peers.holding(now, era); from != "" {
-		if p, ok := h.peers.get(from); ok {
-			h.startFetch(from, p.host.ControlAddress)
-		}
-	}
-}
-
-// fetchIfBehind starts to fetch changes from a host if that host's last beacon
-// announced newer ones. Otherwise this host's copy is as new as the other host's,
-// and is confirmed up to date for the same time. It reports whether a transfer
-// began.
-func (h *Host) fetchIfBehind(now time.Time, from string) bool {
-	p, ok := h.peers.get(from)
-	if !ok {
-		return false
-	}
-	if !h.feeds.behind(&p) {
-		for kind, confirmed := range h.feeds.confirm(&p) {
-			if confirmed {
-				h.newsTaken(feed.Kind(kind), from)
-			}
-		}
-		return false
-	}
-	return h.startFetch(from, p.host.ControlAddress)
-}
-
-// behind reports whether another host has newer changes of any kind.
-func (f *storeFeeds) behind(p *peerState) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for k, replica := range f.replicas {
-		if !replica.Position().Known() || replica.Position().Before(p.changePositions[k]) {
-			return true
-		}
-	}
-	return false
-}
-
-// confirm records that the copies are as new as those of another host, apart from kinds
-// of which that host has a copy of an earlier era. It returns the kinds that it
-// confirmed.
-func (f *storeFeeds) confirm(p *peerState) (confirmed [feed.NumKinds]bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for k, replica := range f.replicas {
-		if confirmed[k] = p.changePositions[k].Era >= replica.Position().Era; confirmed[k] {
-			replica.Confirm(p.heardAt.Add(-p.copyAge))
-		}
-	}
-	return confirmed
-}
-
-// startFetch starts to fetch the changes that a host has after this host's positions. It
-// reports whether a transfer began; there is one at a time.
-func (h *Host) startFetch(from, address string) bool {
-	f := h.feeds
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.fetching {
-		return false
-	}
-	f.fetching = true
-	query := url.Values{versionKey: {strconv.FormatInt(h.tableVersion(), 10)}}
-	for kind, at := range f.positionsLocked() {
-		query.Set(feed.Kind(kind).String(), strconv.FormatInt(at.Revision, 10))
-		query.Set(eraKey(feed.Kind(kind)), strconv.FormatInt(at.Era, 10))
-	}
-	h.tomb.Go(func() error {
-		var err error
-		if !h.protect("peer", func() { err = h.fetchChanges(from, address, query) }) {
-			err = errPanicked
-		}
-		f.mu.Lock()
-		f.fetching = false
-		f.mu.Unlock()
-		h.peers.recordFetch(time.Now(), from, err == nil)
-		if err != nil && h.tomb.Alive() {
-			h.log.warn(err, "could not fetch changes from a peer")
-			for kind := range feed.NumKinds {
-				h.newsRefused(kind, notTaken{Source: from, Reason: notTakenFetchFailed, Detail: err.Error()})
-			}
-		}
-		return nil
-	})
-	return true
-}
-
-// fetchChanges fetches and applies the changes that the host from has after the
-// revisions in query. The transfer is cancelled if it makes no progress for
-// fetchStallTimeout.
-func (h *Host) fetchChanges(from, address string, query url.Values) error {
-	ctx, cancel := context.WithCancel(h.tomb.Context(context.Background()))
-	defer cancel()
-	stallTimer := time.AfterFunc(fetchStallTimeout, cancel)
-	defer stallTimer.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+feedPath+"?"+query.Encode(), nil)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	resp, err := h.feeds.client.Do(req)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer resp.Body.Close()
-	var raw bytes.Buffer
-	for body := io.LimitReader(resp.Body, maxFeedBytes); ; stallTimer.Reset(fetchStallTimeout) {
-		if _, err := io.CopyN(&raw, body, feedChunkBytes); err == io.EOF {
-			break
-		} else if err != nil {
-			return errors.Trace(err)
-		}
-	}
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("peer responded with status %d", resp.StatusCode)
-	}
-	var answer feedAnswer
-	if err := decodeFeedAnswer(raw.Bytes(), &answer); err != nil {
-		h.metrics.malformedMessages.Inc()
-		return err
-	}
-	now := time.Now()
-	completeAt := now.Add(-time.Duration(answer.AgeMS) * time.Millisecond)
-	if !h.feeds.ahead(&answer) {
-		h.registryMu.Lock()
-		h.registry.AdoptSinceOutage(now, time.Duration(answer.SinceOutageMS)*time.Millisecond)
-		h.registryMu.Unlock()
-	}
-	for _, host := range answer.Hosts {
-		if err := h.peers.addPublished(host); err != nil {
-			h.log.warn(err, "entry host in a peer's list ignored")
-		}
-	}
-	// What is in force elsewhere comes before the copy, so that nothing older is in force
-	// for a moment.
-	if answer.Table != nil {
-		h.applyTable(answer.Table)
-	}
-	if c := answer.Changes[feed.Servers]; c != nil && h.feeds.adoptHolds(now, c.Era, answer.Held) {
-		h.applyHolds()
-	}
-	for kind, c := range answer.Changes {
-		if c != nil {
-			h.applyChanges(feed.Kind(kind), from, *c, completeAt)
-		}
-	}
-	if c := answer.Changes[feed.Servers]; c != nil && (answer.Held != nil || answer.Table != nil) {
-		h.feeds.holdsFetched(c.Era)
-	}
-	if len(answer.Leaving) > 0 {
-		h.eachPool(func(p *pool) { p.recordLeaving(answer.Leaving) })
-	}
-	return nil
-}
-
-// ahead reports whether this host has a copy of the servers that the answer lacks, or one
-// of a later era.
-func (f *storeFeeds) ahead(answer *feedAnswer) bool {
-	at, c := f.position(feed.Servers), answer.Changes[feed.Servers]
-	return at.Known() && (c == nil || c.Era < at.Era)
-}
-
-// holdsFetched records that another host, whose copy is of the given era, has said what it
-// holds.
-func (f *storeFeeds) holdsFetched(era int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.holdsEra = max(f.holdsEra, era)
-}
-
-func decodeFeedAnswer(raw []byte, a *feedAnswer) error {
-	if err := cbor.Unmarshal(raw, a); err != nil {
-		return errors.Trace(err)
-	}
-	return a.check()
-}
-
 // storeAnswered logs and counts a successful call to the store.
 func (h *Host) storeAnswered(kind feed.Kind) {
 	h.log.storeAnswered(kind.String())
@@ -793,7 +337,7 @@
 	case errors.Is(err, feed.ErrEraMissing):
 		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenEraMissing, Detail: err.Error()})
 	case errors.Is(err, feed.ErrEraUnconfirmed):
-		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenEraUnsure, Detail: err.Error()})
+		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenEraUnconfirmed, Detail: err.Error()})
 	case errors.Is(err, feed.ErrEraPassed):
 		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: notTakenEraPassed, Detail: err.Error()})
 	default:
