--- a/pkg/core/restore/restore.go
+++ b/pkg/core/restore/restore.go
@@ -70,6 +70,8 @@
 	Revision int64
 }
 
+// heldServer has the fields of Server, with times instead of durations: gone and draining
+// hold until until.
 type heldServer struct {
 	startedMS        int64
 	gone, draining   bool
@@ -95,7 +97,7 @@
 
 // ServersRestored takes the first list of servers since the store came back, besides
 // the servers that were listed before, as Servers returned them, and those that had
-// been removed.
+// been removed. now is when the store came back, as far as the host knows.
 func (h *Holds) ServersRestored(now time.Time, before, removed []fleet.Server, listed []Listed) {
 	known := make(map[string]fleet.Server, len(before))
 	byAddress := make(map[string]fleet.Server, len(before))
@@ -201,7 +203,7 @@
 }
 
 // EvacuationsRestored takes the first list of evacuated failure domains since the store
-// came back, and those that were evacuated before, as Evacuated returned them. A further
+// came back at now, and those that were evacuated before, as Evacuated returned them. A further
 // return does not prolong a hold, so that one of which nobody writes ends.
 func (h *Holds) EvacuationsRestored(now time.Time, era int64, before, listed []string) {
 	h.era = era
--- a/pkg/steer/in_force.go
+++ b/pkg/steer/in_force.go
@@ -19,21 +19,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, replica := time.Now(), f.replicas[kind]
-	var servers, left []fleet.Server
-	var domains []string
+	var before knownBefore
 	if c.Era > replica.Position().Era {
-		servers, domains = f.serversLocked(now), f.evacuatedLocked(now)
+		before = f.knownBefore(now, lapsed())
 		for _, item := range c.Items {
 			if old := replica.Items()[item.Name].Server; old != nil && item.Server != nil {
 				item.Server.ColdUntil = restore.ColdUntil(*old, *item.Server)
 			}
 		}
-		lapsedNow := lapsed()
-		for _, item := range replica.Removed() {
-			if item.Server != nil && !lapsedNow[item.Name] {
-				left = append(left, *item.Server)
-			}
-		}
 	}
 	outcome = replica.Apply(c)
 	if outcome.Taken() {
@@ -50,18 +43,37 @@
 	if outcome == feed.Restored {
 		switch kind {
 		case feed.Servers:
-			f.holds.ServersRestored(returnedAt, servers, left, f.listedServers())
+			f.holds.ServersRestored(returnedAt, before.servers, before.left, f.listedServers())
 			if f.awaitedEra == c.Era {
 				f.holds.Adopt(now, c.Era, f.awaited)
 			}
 			f.awaited, f.awaitedEra = nil, 0
 		case feed.Evacuations:
-			f.holds.EvacuationsRestored(returnedAt, c.Era, domains, f.listedDomains())
+			f.holds.EvacuationsRestored(returnedAt, c.Era, before.domains, f.listedDomains())
 		}
 	}
 	return outcome, f.role.Watch
 }
 
+// knownBefore is what a host knows when its copy moves to a later era.
+type knownBefore struct {
+	servers []fleet.Server // in force
+	left    []fleet.Server // removed before
+	domains []string       // evacuated
+}
+
+// knownBefore returns what the host knows now. The servers in lapsed have no entry, but
+// have not left.
+func (f *storeFeeds) knownBefore(now time.Time, lapsed map[string]bool) knownBefore {
+	known := knownBefore{servers: f.serversLocked(now), domains: f.evacuatedLocked(now)}
+	for _, item := range f.replicas[feed.Servers].Removed() {
+		if item.Server != nil && !lapsed[item.Name] {
+			known.left = append(known.left, *item.Server)
+		}
+	}
+	return known
+}
+
 // listedServers returns the servers of the copy.
 func (f *storeFeeds) listedServers() []restore.Listed {
 	items := f.replicas[feed.Servers].Items()
--- a/pkg/steer/transfers.go
+++ b/pkg/steer/transfers.go
@@ -123,8 +123,9 @@
 	return t
 }
 
-// maxHeldStates is the number of hosts of which one asks in each era what they hold. One
-// may know less than another, because it was cut off or has started since.
+// maxHeldStates is the number of hosts that a host asks in each era what they hold, not
+// counting those that hold nothing. One may know less than another, because it was cut off
+// or has started since.
 const maxHeldStates = 3
 
 // fetchHolds asks another host what it holds since the store came back. A host that started
@@ -302,8 +303,8 @@
 	}
 }
 
-// hasNewerServersThan reports whether this host has a copy of the servers that the answer lacks, or one
-// of a later era.
+// hasNewerServersThan reports whether this host has a copy of the servers that the answer
+// lacks, or one of a later era.
 func (f *storeFeeds) hasNewerServersThan(answer *feedAnswer) bool {
 	at, c := f.position(feed.Servers), answer.Changes[feed.Servers]
 	return at.Known() && (c == nil || c.Era < at.Era)
