Do not keep a server that left for longer because the copy was old again

What callers see: requests to a server up to 2.9 s after it had said that it leaves (DRAIN; bound 2.5 s), while the store turns a third of the hosts away.

Cause: with the second return of the store in mind, each end of an outage had come to prolong the grace period of servers without an entry. A host whose copy is old again and again takes that for outages in series.

TestOutagesInSeriesDoNotKeepAServerThatLeft.

Change: only a return of the store from an older copy prolongs it, as far as that return is known.

--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -83,9 +83,17 @@
 // OutageEnd returns the end of the store's last outage, as far as this host knows.
 func (r *Registry) OutageEnd() time.Time { return r.outageEnd }
 
-// Restored records that the store has come back from an older copy. Servers that the
-// copy lacks are kept for as long as after an outage.
-func (r *Registry) Restored(now time.Time) { r.down, r.outageEnd = false, now }
+// Restored records that the store has come back from an older copy at returnedAt. Servers
+// that the copy lacks are kept for as long as after an outage, also those that an earlier
+// copy or list lacked.
+func (r *Registry) Restored(returnedAt time.Time) {
+	r.down, r.outageEnd = false, returnedAt
+	for id, until := range r.lapsed {
+		if end := returnedAt.Add(reannounceGrace); end.After(until) {
+			r.lapsed[id] = end
+		}
+	}
+}
 
 // Lapsed returns the servers that are in their grace period.
 func (r *Registry) Lapsed() map[string]bool {
@@ -126,10 +134,7 @@
 		if listed[id] {
 			continue
 		}
-		if until, ok := r.lapsed[id]; ok {
-			if end := r.outageEnd.Add(reannounceGrace); end.After(until) {
-				r.lapsed[id] = end // the store went and returned once more
-			}
+		if _, ok := r.lapsed[id]; ok {
 			continue
 		}
 		massLoss := missing[s.Pool] >= massLossMinServers && float64(missing[s.Pool]) >= massLossFraction*float64(poolSizes[s.Pool])
--- a/pkg/core/registry/registry_test.go
+++ b/pkg/core/registry/registry_test.go
@@ -142,6 +142,23 @@
 	require.NotEqual(t, q, r.Version("q"))
 }
 
+// Guards against a server that left and is kept for longer than the grace period, because
+// the host's copy was old again and again meanwhile.
+func TestOutagesInSeriesDoNotKeepAServerThatLeft(t *testing.T) {
+	r := New(start)
+	r.Set(start, servers(1, 2, 3, 4))
+	r.Observe(start.Add(3*time.Second), outageAge+time.Millisecond)
+	left := start.Add(4 * time.Second)
+	r.Set(left, servers(1, 2, 3))
+	require.Equal(t, 4, serverCount(r))
+	for now := left; now.Before(left.Add(reannounceGrace)); now = now.Add(400 * time.Millisecond) {
+		r.Observe(now, outageAge+time.Millisecond)
+		r.Set(now, servers(1, 2, 3))
+	}
+	require.True(t, r.Expire(left.Add(reannounceGrace)))
+	require.Equal(t, 3, serverCount(r))
+}
+
 // Guards against servers that are removed too soon because the store comes back a second
 // time while they have not yet published their entries again.
 func TestRestoredStoreTwiceKeepsLapsedServers(t *testing.T) {
--- a/pkg/steer/apply.go
+++ b/pkg/steer/apply.go
@@ -29,22 +29,21 @@
 	return true
 }
 
-// applyServers updates the registry with the backend servers in force. restored is set
-// for the first list since the store came back from an older copy.
-func (h *Host) applyServers(list []fleet.Server, restored bool) {
-	knownServers, lapsed := h.setServers(list, restored)
+// applyServers updates the registry with the backend servers in force. returnedAt is when
+// the store came back from an older copy, if the list is the first since, or zero.
+func (h *Host) applyServers(list []fleet.Server, returnedAt time.Time) {
+	knownServers, lapsed := h.setServers(list, returnedAt)
 	h.log.serversListed(len(list), knownServers, lapsed)
 	h.updatePools()
 }
 
-func (h *Host) setServers(list []fleet.Server, restored bool) (known, lapsed int) {
+func (h *Host) setServers(list []fleet.Server, returnedAt time.Time) (known, lapsed int) {
 	h.registryMu.Lock()
 	defer h.registryMu.Unlock()
-	now := time.Now()
-	if restored {
-		h.registry.Restored(now)
+	if !returnedAt.IsZero() {
+		h.registry.Restored(returnedAt)
 	}
-	h.registry.Set(now, list)
+	h.registry.Set(time.Now(), list)
 	return h.registry.Counts()
 }
 
--- a/pkg/steer/in_force.go
+++ b/pkg/steer/in_force.go
@@ -160,9 +160,9 @@
 	return f.holds.Adopt(now, era, m)
 }
 
-// applyCopy puts the copy of a kind, which source sent, in force. restored is set if it
-// is the first since the store came back from an older copy.
-func (h *Host) applyCopy(kind feed.Kind, source string, restored bool) {
+// applyCopy puts the copy of a kind, which source sent, in force. returnedAt is when the
+// store came back from an older copy, if it is the first copy since, or zero.
+func (h *Host) applyCopy(kind feed.Kind, source string, returnedAt time.Time) {
 	switch kind {
 	case feed.Tables:
 		t := h.feeds.table()
@@ -177,9 +177,7 @@
 		}
 	case feed.Servers:
 		servers, _ := h.feeds.inForce(time.Now())
-		// A host that took the list from another one has taken the time since the store's
-		// return from there, too.
-		h.applyServers(servers, restored && source == sourceStore)
+		h.applyServers(servers, returnedAt)
 	case feed.Evacuations:
 		_, domains := h.feeds.inForce(time.Now())
 		h.applyEvacuated(domains)
@@ -191,6 +189,6 @@
 	h.copiesMu.Lock()
 	defer h.copiesMu.Unlock()
 	servers, domains := h.feeds.inForce(time.Now())
-	h.applyServers(servers, false)
+	h.applyServers(servers, time.Time{})
 	h.applyEvacuated(domains)
 }
--- a/pkg/steer/odd_messages_test.go
+++ b/pkg/steer/odd_messages_test.go
@@ -151,7 +151,7 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	h.udp = conn.(*net.UDPConn)
 	h.applyTable(&fleet.Table{Version: 1, Pools: []fleet.Pool{{Name: "p"}}})
-	h.applyServers([]fleet.Server{{ID: "s1", Pool: "p", Address: "127.0.0.1:9", Domain: "a-1", Slots: 4, StartedMS: 1}}, false)
+	h.applyServers([]fleet.Server{{ID: "s1", Pool: "p", Address: "127.0.0.1:9", Domain: "a-1", Slots: 4, StartedMS: 1}}, time.Time{})
 	return h
 }
 
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -246,7 +246,8 @@
 	h.copiesMu.Lock()
 	defer h.copiesMu.Unlock()
 	before := h.feeds.position(kind)
-	outcome, watching := h.feeds.apply(kind, c, completeAt, h.returnedAt(source), h.lapsedServers)
+	returnedAt := h.returnedAt(source)
+	outcome, watching := h.feeds.apply(kind, c, completeAt, returnedAt, h.lapsedServers)
 	if outcome == feed.Restored {
 		h.log.restored(kind, source, before, c.Position(), h.feeds.held())
 		select {
@@ -254,8 +255,11 @@
 		default: // publish was told already
 		}
 	}
-	if outcome == feed.Changed || outcome == feed.Restored {
-		h.applyCopy(kind, source, outcome == feed.Restored)
+	switch outcome {
+	case feed.Changed:
+		h.applyCopy(kind, source, time.Time{})
+	case feed.Restored:
+		h.applyCopy(kind, source, returnedAt)
 	}
 	switch {
 	case !outcome.Taken():
