Confirm a copy that is ahead of the answer that it gets

What callers would see: servers that left kept for 2 s more, and more calls to the store, on hosts that get changes from peers faster than from the store.

Cause: an answer with a lower revision of the same era no longer confirmed the copy. If the copy had moved on meanwhile, its age grew although all was well, and from 2.5 s on the store counts as unavailable.

Change: a copy that is ahead has all that its source had. Only a store that is behind the position from which it was asked confirms nothing and is logged (TestStoreThatGoesBack). The case older-revision of TestNewsThatIsNotTaken came from a peer that is behind, which is no news that is refused; the reason is tested with the store there, and the table has older-era in its place.

--- a/pkg/steer/in_force.go
+++ b/pkg/steer/in_force.go
@@ -29,7 +29,8 @@
 		}
 	}
 	outcome = replica.Apply(c)
-	if outcome.Taken() {
+	if outcome.Taken() || outcome == feed.OlderRevision {
+		// A copy that is ahead of its source has all that the source had at that time.
 		replica.Confirm(completeAt)
 	}
 	if kind == feed.Evacuations && outcome.Taken() {
--- a/pkg/steer/store_feeds.go
+++ b/pkg/steer/store_feeds.go
@@ -195,11 +195,7 @@
 				return
 			}
 			h.recordUnreadable(kind.String(), changes.Complete, changes.Items, changes.Unreadable)
-			outcome := h.applyChanges(kind, sourceStore, changes, completeAt)
-			// If the copy has moved on during the call, changes came from a peer.
-			if !outcome.Taken() && h.feeds.position(kind) == from {
-				err = errors.Annotatef(errOlderAnswer, "%s: the store is at %s, the copy at %s", outcome, changes.Position(), from)
-			}
+			err = h.takeStoreAnswer(kind, from, changes, completeAt)
 		}
 		if !h.protect("store", readAndApply) {
 			err = errPanicked
@@ -232,6 +228,21 @@
 	}
 }
 
+// takeStoreAnswer applies changes that the store has sent. from is the position of the
+// copy when the store was asked. The error is errOlderAnswer if the store is behind it. An
+// answer that is behind the copy alone is not late news: the copy has moved on meanwhile,
+// with changes of a peer.
+func (h *Host) takeStoreAnswer(kind feed.Kind, from feed.Position, c feed.Changes, completeAt time.Time) error {
+	if c.Era == from.Era && c.Position().Before(from) {
+		h.newsRefused(kind, notTaken{Source: sourceStore, Reason: feed.OlderRevision.String(), Era: c.Era, Revision: c.Revision})
+		return errors.Annotatef(errOlderAnswer, "the store is at %s, the copy at %s", c.Position(), from)
+	}
+	if outcome := h.applyChanges(kind, sourceStore, c, completeAt); !outcome.Taken() && outcome != feed.OlderRevision {
+		return errors.Annotatef(errOlderAnswer, "%s: the store is at %s", outcome, c.Position())
+	}
+	return nil
+}
+
 // applyChanges applies changes to the replica of a kind and puts the result in
 // force. If this host watches the store, it sends beacons at once, so that its
 // followers fetch the changes. source names who sent the changes, and completeAt is
@@ -262,6 +273,7 @@
 		h.applyCopy(kind, source, returnedAt)
 	}
 	switch {
+	case outcome == feed.OlderRevision: // the source is behind this copy
 	case !outcome.Taken():
 		h.newsRefused(kind, notTaken{Source: source, Reason: outcome.String(), Era: c.Era, Revision: c.Revision})
 	case len(c.Keep) > 0:
