--- a/test/soak/news_reaches_hosts_test.go
+++ b/test/soak/news_reaches_hosts_test.go
@@ -330,7 +330,7 @@
 
 func (n *news) role(host int) newsDump {
 	var d newsDump
-	_ = json.Unmarshal([]byte(n.dump(host)), &d) // the zero value stands for a host without an answer
+	_ = json.Unmarshal([]byte(n.dump(host)), &d) // a host without an answer has the zero value
 	return d
 }
 
